--- /dev/null
+++ b/crates/fake_upstream/src/http.rs
@@ -0,0 +1,173 @@
+//! What entries ask of the stand-in.
+
+use std::fs::OpenOptions;
+use std::io::Write as _;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hg_model::{
+    ANSWER_SHA256_HEADER, BOOT_HEADER, LEASE_ORDER_HEADER, LEASE_STATE_HEADER, LeaseId, LeaseOrder,
+    LeaseState,
+};
+use poem::http::StatusCode;
+use poem::web::{Data, Path, Query};
+use poem::{Body, EndpointExt as _, Request, Response, Route, get, handler, post};
+use serde::Deserialize;
+use sha2::{Digest as _, Sha256};
+
+use crate::{Behaviour, Leases, Options, View};
+
+/// What all handlers share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) options: Options,
+    pub(crate) leases: Leases,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct WaitQuery {
+    wait_ms: u64,
+}
+
+/// The routes.
+pub(crate) fn routes(shared: Arc<Shared>) -> impl poem::Endpoint {
+    Route::new()
+        .at("/v1/leases/:id", get(look).delete(acknowledge))
+        .at("/v1/leases/:id/prepare", post(prepare))
+        .at("/v1/leases/:id/start", post(start))
+        .at("/v1/leases/:id/release", post(release))
+        .at("/v1/leases/:id/stop", post(stop))
+        .data(shared)
+}
+
+fn lease_id(text: &str) -> poem::Result<LeaseId> {
+    text.parse()
+        .map_err(|error| poem::Error::from_string(format!("{error}"), StatusCode::BAD_REQUEST))
+}
+
+fn lease_order(req: &Request) -> poem::Result<LeaseOrder> {
+    let order = req.header(LEASE_ORDER_HEADER).and_then(|text| serde_json::from_str(text).ok());
+    order.ok_or_else(|| poem::Error::from_string("no lease order", StatusCode::BAD_REQUEST))
+}
+
+fn respond(shared: &Shared, view: View) -> Response {
+    let mut sha256 = String::new();
+    let mut content = view.content;
+    if view.state == LeaseState::Done {
+        sha256 = hex(&content);
+        if shared.options.cut_answers {
+            content = content.slice(..content.len() / 2);
+        }
+    }
+    Response::builder()
+        .header(LEASE_STATE_HEADER, view.state.to_string())
+        .header(BOOT_HEADER, shared.leases.boot().to_string())
+        .header(ANSWER_SHA256_HEADER, sha256)
+        .body(content)
+}
+
+fn hex(bytes: &[u8]) -> String {
+    Sha256::digest(bytes).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+#[handler]
+async fn look(
+    shared: Data<&Arc<Shared>>,
+    Path(id): Path<String>,
+    query: Query<WaitQuery>,
+) -> poem::Result<Response> {
+    let id = lease_id(&id)?;
+    let view = shared.leases.wait(&id, Duration::from_millis(query.wait_ms)).await;
+    Ok(respond(&shared, view))
+}
+
+#[handler]
+fn acknowledge(shared: Data<&Arc<Shared>>, Path(id): Path<String>) -> poem::Result<Response> {
+    let id = lease_id(&id)?;
+    shared.leases.acknowledge(&id);
+    Ok(respond(&shared, shared.leases.look(&id)))
+}
+
+#[handler]
+fn prepare(
+    shared: Data<&Arc<Shared>>,
+    Path(id): Path<String>,
+    req: &Request,
+) -> poem::Result<Response> {
+    let view = shared.leases.prepare(&lease_id(&id)?, &lease_order(req)?);
+    Ok(respond(&shared, view))
+}
+
+#[handler]
+fn release(
+    shared: Data<&Arc<Shared>>,
+    Path(id): Path<String>,
+    req: &Request,
+) -> poem::Result<Response> {
+    let view = shared.leases.release(&lease_id(&id)?, &lease_order(req)?);
+    Ok(respond(&shared, view))
+}
+
+#[handler]
+fn stop(
+    shared: Data<&Arc<Shared>>,
+    Path(id): Path<String>,
+    req: &Request,
+) -> poem::Result<Response> {
+    let view = shared.leases.stop(&lease_id(&id)?, &lease_order(req)?);
+    Ok(respond(&shared, view))
+}
+
+#[handler]
+async fn start(
+    shared: Data<&Arc<Shared>>,
+    Path(id): Path<String>,
+    req: &Request,
+    body: Body,
+    query: Query<WaitQuery>,
+) -> poem::Result<Response> {
+    let id = lease_id(&id)?;
+    let order = lease_order(req)?;
+    let body = body.into_bytes().await?;
+    let (view, started) = shared.leases.start(&id, &order);
+    if started {
+        witness(&shared, &id, &order)?;
+        run_task(Arc::clone(&shared), id.clone(), body);
+    }
+    if view.state != LeaseState::Running {
+        return Ok(respond(&shared, view));
+    }
+    let view = shared.leases.wait(&id, Duration::from_millis(query.wait_ms)).await;
+    Ok(respond(&shared, view))
+}
+
+/// Writes down that tasks were started, before they run.
+fn witness(shared: &Shared, id: &LeaseId, order: &LeaseOrder) -> poem::Result<()> {
+    let Some(file) = &shared.options.witness else { return Ok(()) };
+    let line = format!("start {} {id} {} {}\n", id.job, shared.options.name, order.tasks);
+    let written = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(file)
+        .and_then(|mut f| f.write_all(line.as_bytes()));
+    written.map_err(poem::error::InternalServerError)
+}
+
+/// Runs the tasks of a lease to their end.
+fn run_task(shared: Arc<Shared>, id: LeaseId, body: Bytes) {
+    tokio::spawn(async move {
+        let behaviour = Behaviour::of(&body);
+        if behaviour.run_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(behaviour.run_ms)).await;
+        }
+        if behaviour.fail || shared.options.fail_all {
+            let reason = Bytes::from_static(b"the task failed, as it was told to");
+            shared.leases.end(&id, LeaseState::Failed, reason);
+            return;
+        }
+        let answer = format!("{}: {} ran {}", shared.options.name, id.job, behaviour.text);
+        shared.leases.end(&id, LeaseState::Done, Bytes::from(answer));
+    });
+}
--- /dev/null
+++ b/crates/hg_cli/src/arguments.rs
@@ -0,0 +1,173 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+
+/// The whole command line.
+pub(crate) fn command() -> Command {
+    Command::new("heathergrade")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Edits the lists, starts, cancels and drains work")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("entry")
+                .long("entry")
+                .value_name("ADDRESS,...")
+                .global(true)
+                .value_delimiter(',')
+                .default_value("127.0.0.1:7080")
+                .value_parser(value_parser!(SocketAddr))
+                .help("Entry hosts; the next one is tried if one cannot be reached"),
+        )
+        .subcommand(lists())
+        .subcommand(job())
+        .subcommand(
+            Command::new("why")
+                .about("Tells what was decided about a job, and what it waits for")
+                .arg(id()),
+        )
+        .subcommand(upstream())
+        .subcommand(Command::new("status").about("Shows the control group and the pool"))
+        .subcommand(keys())
+}
+
+fn id() -> Arg {
+    Arg::new("id").value_name("JOB").required(true).help("The job's id")
+}
+
+fn file(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
+fn lists() -> Command {
+    let plans = || file("plans", "The list of plans (TOML)");
+    let accounts = || file("accounts", "The list of client accounts (TOML)");
+    Command::new("lists")
+        .about("Reads and writes the two lists")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check")
+                .about("Checks both lists against the pool; changes nothing")
+                .arg(plans())
+                .arg(accounts()),
+        )
+        .subcommand(Command::new("get").about("Prints both lists and their version"))
+        .subcommand(
+            Command::new("put")
+                .about("Replaces both lists, if they still have the expected version")
+                .arg(plans())
+                .arg(accounts())
+                .arg(
+                    Arg::new("expect")
+                        .long("expect")
+                        .value_name("VERSION")
+                        .required(true)
+                        .value_parser(value_parser!(u64))
+                        .help("The version that you edited; 0 before the first write"),
+                )
+                .arg(
+                    Arg::new("operation")
+                        .long("operation")
+                        .value_name("ID")
+                        .help("Give the same id again to resend a write whose answer was lost"),
+                ),
+        )
+}
+
+fn job() -> Command {
+    Command::new("job")
+        .about("Starts, watches and cancels jobs")
+        .subcommand_required(true)
+        .subcommand(submit())
+        .subcommand(Command::new("status").about("Shows a job").arg(id()))
+        .subcommand(
+            Command::new("answer")
+                .about("Waits for a job's answer")
+                .arg(id())
+                .arg(wait_ms("60000")),
+        )
+        .subcommand(Command::new("cancel").about("Cancels a job").arg(id()))
+}
+
+fn wait_ms(default: &'static str) -> Arg {
+    number("wait-ms", default, "How long to wait for the answer, in milliseconds")
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
+fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).action(ArgAction::SetTrue).help(help)
+}
+
+fn submit() -> Command {
+    Command::new("submit")
+        .about("Starts a job; the same id again is the same job")
+        .arg(id())
+        .arg(Arg::new("account").long("account").required(true).help("The client account"))
+        .arg(Arg::new("kind").long("kind").required(true).help("The kind of work"))
+        .arg(
+            Arg::new("class")
+                .long("class")
+                .default_value("normal")
+                .value_parser(["urgent", "normal", "patient"])
+                .help("How soon it should start"),
+        )
+        .arg(number("tasks", "1", "How many tasks run together"))
+        .arg(number("accelerators", "0", "Accelerators of each task"))
+        .arg(number("processors", "1", "Processors of each task"))
+        .arg(number("memory-mib", "1024", "Memory of each task, in MiB"))
+        .arg(flag("adjacent", "All tasks must sit in one rack"))
+        .arg(flag("idempotent", "Running it twice does no harm"))
+        .arg(flag("checkpointable", "It can save its progress"))
+        .arg(number("expected-ms", "0", "The expected run time, in milliseconds; 0 if unknown"))
+        .arg(number("deadline-ms", "60000", "How long it may wait for its start, in milliseconds"))
+        .arg(Arg::new("body").long("body").default_value("").help("The request's body"))
+        .arg(wait_ms("0"))
+}
+
+fn upstream() -> Command {
+    let name =
+        || Arg::new("name").value_name("UPSTREAM").required(true).help("The upstream's name");
+    Command::new("upstream")
+        .about("Lists, drains and resumes upstreams")
+        .subcommand_required(true)
+        .subcommand(Command::new("list").about("Lists all upstreams"))
+        .subcommand(Command::new("drain").about("Gives an upstream no new work").arg(name()))
+        .subcommand(Command::new("resume").about("Gives an upstream new work again").arg(name()))
+}
+
+fn keys() -> Command {
+    Command::new("keys").about("Makes keys").subcommand_required(true).subcommand(
+        Command::new("new")
+            .about("Makes the authority, if there is none yet, and a key for each host")
+            .arg(
+                Arg::new("folder")
+                    .value_name("FOLDER")
+                    .required(true)
+                    .value_parser(value_parser!(PathBuf))
+                    .help("Where the authority's key lies; each host gets a folder below it"),
+            )
+            .arg(
+                Arg::new("host")
+                    .value_name("HOST")
+                    .required(true)
+                    .num_args(1..)
+                    .help("The hosts; copy each folder to its host, and nothing else"),
+            ),
+    )
+}
--- /dev/null
+++ b/crates/hg_cli/src/main.rs
@@ -0,0 +1,40 @@
+//! `heathergrade`: the operators' command line.
+
+mod arguments;
+mod client;
+mod exit;
+mod jobs;
+mod keys;
+mod lists;
+mod upstreams;
+
+use clap::ArgMatches;
+
+use crate::client::Client;
+use crate::exit::Exit;
+
+#[tokio::main]
+async fn main() -> std::process::ExitCode {
+    let matches = arguments::command().get_matches();
+    match run(&matches).await {
+        Ok(exit) => exit.into(),
+        Err(error) => {
+            eprintln!("heathergrade: {error:#}");
+            exit::of_error(&error).into()
+        }
+    }
+}
+
+async fn run(matches: &ArgMatches) -> eyre::Result<Exit> {
+    let entries = matches.get_many("entry").into_iter().flatten().copied().collect();
+    let client = Client::new(entries);
+    match matches.subcommand() {
+        Some(("lists", matches)) => lists::run(&client, matches).await,
+        Some(("job", matches)) => jobs::run(&client, matches).await,
+        Some(("why", matches)) => jobs::why(&client, matches).await,
+        Some(("upstream", matches)) => upstreams::run(&client, matches).await,
+        Some(("status", _)) => upstreams::status(&client).await,
+        Some(("keys", matches)) => keys::run(matches),
+        _ => Err(eyre::eyre!("clap requires a command")),
+    }
+}
--- /dev/null
+++ b/crates/hg_control/src/core.rs
@@ -0,0 +1,357 @@
+//! The core: replica, ledger and scheduler in one place.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+
+use hg_ledger::{Command, Ledger, Outcome};
+use hg_link::{Directive, Reply, Request, decode, encode};
+use hg_model::{EntryName, JobId, Time};
+use hg_policy::{PolicyConfig, Scheduler};
+use hg_replica::{
+    Disk, Entry, Index, Message, Payload, Replica, ReplicaId, Snapshot, Status, Storage,
+    StorageError, Timing,
+};
+use hg_settings::ControlLimits;
+use slog::{Logger, crit, warn};
+
+use crate::entries::Entries;
+
+/// Names a request that waits for its reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// Something that happened.
+#[derive(Debug)]
+pub enum Event {
+    /// Another replica spoke.
+    Message(Message),
+    /// An entry or an operator asks.
+    Request {
+        /// For the reply.
+        ticket: Ticket,
+        /// What is asked.
+        req: Request,
+    },
+    /// This process is to leave the lead, because it shuts down.
+    HandOver,
+}
+
+/// What is to be sent.
+#[derive(Debug, Default)]
+pub struct Actions {
+    /// To other replicas.
+    pub messages: Vec<(SocketAddr, Message)>,
+    /// To entries; only valid while the lease holds.
+    pub directives: Vec<(EntryName, Directive)>,
+    /// To whoever asked.
+    pub replies: Vec<(Ticket, Reply)>,
+}
+
+/// What a core is set up with.
+#[derive(Debug, Clone)]
+pub struct CoreConfig {
+    /// Time bounds of the agreement.
+    pub timing: Timing,
+    /// Bounds on what is kept.
+    pub limits: ControlLimits,
+    /// The policy's settings.
+    pub policy: PolicyConfig,
+}
+
+/// What a proposal is for.
+#[derive(Debug)]
+pub(crate) enum Purpose {
+    /// Somebody waits for what becomes of it.
+    Asked { ticket: Ticket, reply: ReplyKind },
+    /// The scheduler decided it.
+    Decided,
+    /// Housekeeping.
+    Kept,
+}
+
+/// How an outcome becomes a reply.
+#[derive(Debug, Clone)]
+pub(crate) enum ReplyKind {
+    /// The job as it then is.
+    Job(JobId),
+    /// Whether members may start.
+    Commit,
+    /// The version or the conflict.
+    Lists,
+    /// Just that it was done.
+    Done,
+}
+
+/// A control process without its I/O.
+pub struct Core<D> {
+    pub(crate) cfg: CoreConfig,
+    pub(crate) log: Logger,
+    pub(crate) replica: Replica,
+    storage: Storage<D>,
+    pub(crate) ledger: Ledger,
+    pub(crate) scheduler: Scheduler,
+    pub(crate) entries: Entries,
+    pub(crate) leading: Option<Leading>,
+    pending: BTreeMap<Index, (Command, Purpose)>,
+    pub(crate) actions: Actions,
+    proposed: bool,
+}
+
+/// What a leader keeps besides the replicated state.
+#[derive(Debug)]
+pub(crate) struct Leading {
+    /// When it began to lead.
+    pub(crate) since: Time,
+    /// Whether it has begun to place jobs.
+    pub(crate) settled: bool,
+    /// Decisions that are not applied yet.
+    pub(crate) undecided: usize,
+    /// When orders were last sent again.
+    pub(crate) repeated_at: Time,
+    /// When old jobs were last forgotten.
+    pub(crate) forgot_at: Time,
+    /// Waiting jobs whose body is not at hand, and since when.
+    pub(crate) parked: BTreeMap<JobId, Time>,
+    /// The shortages last logged.
+    pub(crate) shortages: usize,
+}
+
+impl<D> fmt::Debug for Core<D> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Core").field("replica", &self.replica.id()).finish_non_exhaustive()
+    }
+}
+
+/// Queries.
+impl<D: Disk> Core<D> {
+    /// The replica's present view.
+    pub fn status(&self) -> Status {
+        self.replica.status()
+    }
+
+    /// The replicated state, as far as it was applied.
+    pub const fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// The scheduler; up to date only while this replica leads.
+    pub const fn scheduler(&self) -> &Scheduler {
+        &self.scheduler
+    }
+
+    /// Whether decisions may be sent at `now`.
+    pub fn may_decide(&self, now: Time) -> bool {
+        self.replica.may_decide(now)
+    }
+
+    /// Whether this replica has no history and no place yet.
+    pub fn must_join(&self) -> bool {
+        let status = self.replica.status();
+        !status.configuration.peers.contains_key(&status.id)
+    }
+
+    /// Its identity.
+    pub const fn id(&self) -> &ReplicaId {
+        self.replica.id()
+    }
+}
+
+/// Commands.
+impl<D: Disk> Core<D> {
+    /// Starts from what the storage held.
+    pub fn new(storage: Storage<D>, cfg: CoreConfig, log: Logger, now: Time, seed: u64) -> Self {
+        let replica = Replica::new(storage.restored(), cfg.timing, now, seed);
+        Self {
+            scheduler: Scheduler::new(cfg.policy.clone()),
+            cfg,
+            log,
+            replica,
+            storage,
+            ledger: Ledger::new(),
+            entries: Entries::default(),
+            leading: None,
+            pending: BTreeMap::new(),
+            actions: Actions::default(),
+            proposed: false,
+        }
+    }
+
+    /// Takes in a batch of events and lets time pass.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`] if the disk fails; the process must then end without sending anything.
+    pub fn handle(&mut self, now: Time, events: Vec<Event>) -> Result<Actions, StorageError> {
+        for event in events {
+            match event {
+                Event::Message(message) => self.replica.step(now, message),
+                Event::Request { ticket, req } => self.on_request(now, ticket, req),
+                Event::HandOver => self.replica.hand_over(now),
+            }
+        }
+        self.replica.tick(now);
+        self.pump(now)?;
+        self.compact_if_due()?;
+        Ok(std::mem::take(&mut self.actions))
+    }
+
+    /// Carries out what the replica asks for until nothing is left.
+    fn pump(&mut self, now: Time) -> Result<(), StorageError> {
+        loop {
+            self.lead(now);
+            if std::mem::take(&mut self.proposed) {
+                self.replica.replicate(now);
+            }
+            let out = self.replica.take_output();
+            if out.is_empty() {
+                return Ok(());
+            }
+            self.storage.write(&out.writes)?;
+            for message in out.messages {
+                if let Some(address) = self.replica.address_of(&message.to) {
+                    self.actions.messages.push((address, message));
+                }
+            }
+            if let Some(snapshot) = out.installed {
+                self.install(&snapshot);
+            }
+            for entry in out.committed {
+                self.apply(now, entry);
+            }
+        }
+    }
+
+    fn install(&mut self, snapshot: &Snapshot) {
+        match decode(&snapshot.data) {
+            Ok(ledger) => self.ledger = ledger,
+            Err(cause) => {
+                crit!(self.log, "control: snapshot cannot be read"; "event" => "snapshot.unreadable",
+                    "index" => snapshot.index.0, "cause" => %cause);
+                panic!("a snapshot with a good checksum cannot be read: {cause}");
+            }
+        }
+    }
+
+    fn compact_if_due(&mut self) -> Result<(), StorageError> {
+        if self.replica.log_entries() < self.cfg.limits.snapshot_entries {
+            return Ok(());
+        }
+        self.replica.compact(self.replica.applied(), encode(&self.ledger));
+        let out = self.replica.take_output();
+        self.storage.write(&out.writes)
+    }
+
+    /// Proposes a command; whoever asked is told to look elsewhere if this is not the leader.
+    pub(crate) fn propose(&mut self, now: Time, command: Command, purpose: Purpose) {
+        if self.pending.len() >= self.cfg.limits.requests {
+            self.turn_away(&purpose, Reply::Busy);
+            return;
+        }
+        let encoded = encode(&command);
+        match self.replica.propose(now, encoded) {
+            Ok(index) => {
+                if matches!(purpose, Purpose::Decided)
+                    && let Some(leading) = &mut self.leading
+                {
+                    leading.undecided += 1;
+                }
+                self.pending.insert(index, (command, purpose));
+                self.proposed = true;
+            }
+            Err(_) => {
+                let reply = self.not_leader();
+                self.turn_away(&purpose, reply);
+            }
+        }
+    }
+
+    fn turn_away(&mut self, purpose: &Purpose, reply: Reply) {
+        if let Purpose::Asked { ticket, .. } = purpose {
+            self.actions.replies.push((*ticket, reply));
+        }
+    }
+
+    pub(crate) fn not_leader(&self) -> Reply {
+        let leader = self.replica.leader();
+        Reply::NotLeader {
+            leader: leader.map(|id| id.host.clone()),
+            address: leader.and_then(|id| self.replica.address_of(id)),
+        }
+    }
+
+    /// Tells everyone who waits that this replica no longer leads.
+    pub(crate) fn drop_pending(&mut self) {
+        let reply = self.not_leader();
+        for (_, (_, purpose)) in std::mem::take(&mut self.pending) {
+            self.turn_away(&purpose, reply.clone());
+        }
+    }
+
+    fn apply(&mut self, now: Time, entry: Entry) {
+        let mine = self.pending.remove(&entry.index);
+        let Payload::Command(bytes) = entry.payload else {
+            if let Some((_, purpose)) = mine {
+                let reply = self.not_leader();
+                self.turn_away(&purpose, reply);
+            }
+            return;
+        };
+        let command: Command = match decode(&bytes) {
+            Ok(command) => command,
+            Err(cause) => {
+                // All replicas read the same bytes, so all pass over it alike.
+                warn!(self.log, "control: entry cannot be read"; "event" => "entry.unreadable",
+                    "index" => entry.index.0, "cause" => %cause);
+                return;
+            }
+        };
+        let applied = self.ledger.apply(command.clone());
+        self.log_command(&command, &applied.outcome);
+        if self.leading.is_some() {
+            for effect in &applied.effects {
+                self.scheduler.follow(now, &self.ledger, effect);
+                self.direct(effect);
+            }
+            self.scheduler.retract(now, &self.ledger, &command, &applied.outcome);
+        }
+        match mine {
+            // What stands at this position may be another leader's.
+            Some((proposed, purpose)) if proposed == command => {
+                self.settle(purpose, &applied.outcome);
+            }
+            Some((_, purpose)) => {
+                let reply = self.not_leader();
+                self.turn_away(&purpose, reply);
+            }
+            None => {}
+        }
+    }
+
+    fn settle(&mut self, purpose: Purpose, outcome: &Outcome) {
+        match purpose {
+            Purpose::Asked { ticket, reply } => {
+                let reply = self.reply_for(reply, outcome);
+                self.actions.replies.push((ticket, reply));
+            }
+            Purpose::Decided => {
+                if let Some(leading) = &mut self.leading {
+                    leading.undecided = leading.undecided.saturating_sub(1);
+                }
+            }
+            Purpose::Kept => {}
+        }
+    }
+
+    fn reply_for(&self, kind: ReplyKind, outcome: &Outcome) -> Reply {
+        match (kind, outcome) {
+            (_, Outcome::Mismatch) => Reply::Mismatch,
+            (ReplyKind::Job(id), _) => self.job_reply(&id),
+            (ReplyKind::Commit, Outcome::Done | Outcome::Known) => Reply::Go,
+            (ReplyKind::Commit, _) => Reply::Abandon,
+            (ReplyKind::Lists, Outcome::Lists(version)) => Reply::Accepted(*version),
+            (ReplyKind::Lists, Outcome::Conflict(conflict)) => Reply::Conflict(conflict.clone()),
+            (ReplyKind::Lists | ReplyKind::Done, _) => Reply::Done,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hg_control/src/file_disk.rs
@@ -0,0 +1,77 @@
+//! The log in one file.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write as _};
+use std::path::{Path, PathBuf};
+
+use hg_replica::Disk;
+
+/// One file in the data folder, replaced as a whole by snapshots.
+#[derive(Debug)]
+pub struct FileDisk {
+    folder: PathBuf,
+    file: PathBuf,
+    writer: Option<File>,
+}
+
+impl FileDisk {
+    /// Names the log in a data folder, which is made if needed.
+    ///
+    /// # Errors
+    ///
+    /// What the system reports.
+    pub fn new(folder: &Path) -> io::Result<Self> {
+        fs::create_dir_all(folder)?;
+        let file = folder.join("log");
+        Ok(Self { folder: folder.to_owned(), file, writer: None })
+    }
+
+    /// Moves a damaged log aside, for whoever wants to look at it.
+    ///
+    /// # Errors
+    ///
+    /// What the system reports.
+    pub fn set_aside(&mut self) -> io::Result<PathBuf> {
+        self.writer = None;
+        let aside = self.folder.join("log.damaged");
+        fs::rename(&self.file, &aside)?;
+        File::open(&self.folder)?.sync_all()?;
+        Ok(aside)
+    }
+
+    fn writer(&mut self) -> io::Result<&mut File> {
+        if self.writer.is_none() {
+            self.writer = Some(OpenOptions::new().append(true).open(&self.file)?);
+        }
+        self.writer.as_mut().ok_or_else(|| io::Error::other("the file was just opened"))
+    }
+}
+
+impl Disk for FileDisk {
+    fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
+        match fs::read(&self.file) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.writer()?.write_all(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.writer()?.sync_data()
+    }
+
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let next = self.folder.join("log.next");
+        let mut f = File::create(&next)?;
+        f.write_all(bytes)?;
+        f.sync_all()?;
+        fs::rename(&next, &self.file)?;
+        File::open(&self.folder)?.sync_all()?;
+        self.writer = None;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/hg_control/src/lib.rs
@@ -0,0 +1,25 @@
+//! The control process: the replicated log and the decisions.
+//!
+//! * [`Core`] ties the replica, the ledger and the scheduler together. It does no I/O but for its
+//!   [`Disk`](hg_replica::Disk): events go in, [`Actions`] come out.
+//! * [`FileDisk`] keeps the log in one file.
+//! * [`run`] wires the core to links, signals and the metrics page.
+
+mod clock;
+mod core;
+mod drive;
+mod entries;
+mod file_disk;
+mod found;
+mod http;
+mod leading;
+mod links;
+mod requests;
+mod run;
+mod views;
+
+pub use clock::Clock;
+pub use core::{Actions, Core, CoreConfig, Event, Ticket};
+pub use file_disk::FileDisk;
+pub use found::{FoundError, Founder, found};
+pub use run::{Options, run};
--- /dev/null
+++ b/crates/hg_control/src/links.rs
@@ -0,0 +1,245 @@
+//! The links of a control process: to other replicas, and from entries.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hg_link::{Arriving, Directive, Incoming, Link, LinkEndpoint, LinkError, Reply, Request};
+use hg_model::EntryName;
+use hg_replica::{Message, ReplicaId};
+use slog::{Logger, debug, info, warn};
+use tokio::runtime::Handle;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::time::{sleep, timeout};
+
+use crate::drive::{Driver, Input};
+
+/// Most batches that wait for one replica; more are dropped, since the agreement repairs losses.
+const PEER_QUEUE_MAX: usize = 256;
+/// Most directives that wait for one entry; more are dropped, since orders are repeated.
+const ENTRY_QUEUE_MAX: usize = 16_384;
+/// How long a connection attempt may take.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// How long to wait after a failed connection attempt.
+const RECONNECT: Duration = Duration::from_millis(100);
+/// How often a replica without a place asks for one.
+const JOIN_EVERY: Duration = Duration::from_millis(500);
+
+/// Where the core's words go.
+#[derive(Debug, Clone)]
+pub(crate) struct Outbox {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    endpoint: LinkEndpoint,
+    runtime: Handle,
+    log: Logger,
+    peers: Mutex<BTreeMap<SocketAddr, Sender<Vec<Message>>>>,
+    entries: Mutex<BTreeMap<EntryName, Sender<Directive>>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Outbox {
+    pub(crate) fn new(endpoint: LinkEndpoint, runtime: Handle, log: Logger) -> Self {
+        let (peers, entries) = (Mutex::default(), Mutex::default());
+        Self { shared: Arc::new(Shared { endpoint, runtime, log, peers, entries }) }
+    }
+
+    /// Sends messages to replicas; what finds no room is dropped.
+    pub(crate) fn send_messages(&self, messages: Vec<(SocketAddr, Message)>) {
+        let mut batches: BTreeMap<SocketAddr, Vec<Message>> = BTreeMap::new();
+        for (address, message) in messages {
+            batches.entry(address).or_default().push(message);
+        }
+        for (address, batch) in batches {
+            let tx = self.peer(address);
+            if tx.try_send(batch).is_err() {
+                metrics::counter!("hg_control_messages_dropped").increment(1);
+            }
+        }
+    }
+
+    fn peer(&self, address: SocketAddr) -> Sender<Vec<Message>> {
+        let mut peers = lock(&self.shared.peers);
+        let make = || {
+            let (tx, rx) = channel(PEER_QUEUE_MAX);
+            let shared = Arc::clone(&self.shared);
+            self.shared.runtime.spawn(send_to_peer(shared, address, rx));
+            tx
+        };
+        peers.entry(address).or_insert_with(make).clone()
+    }
+
+    /// Sends directives to entries; what finds no room is dropped.
+    pub(crate) fn send_directives(&self, directives: Vec<(EntryName, Directive)>) {
+        let entries = lock(&self.shared.entries);
+        for (entry, directive) in directives {
+            let sent = entries.get(&entry).is_some_and(|tx| tx.try_send(directive).is_ok());
+            if !sent {
+                metrics::counter!("hg_control_directives_dropped").increment(1);
+            }
+        }
+    }
+}
+
+/// Keeps a link to one replica and sends what comes.
+async fn send_to_peer(shared: Arc<Shared>, address: SocketAddr, mut rx: Receiver<Vec<Message>>) {
+    let mut link: Option<Link> = None;
+    while let Some(mut batch) = rx.recv().await {
+        while let Ok(mut more) = rx.try_recv() {
+            batch.append(&mut more);
+        }
+        if link.as_ref().is_none_or(Link::is_closed) {
+            link = connect(&shared, address).await;
+        }
+        let Some(open) = &link else { continue };
+        match timeout(CONNECT_LIMIT, open.send(&batch)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => {
+                debug!(shared.log, "link: not sent"; "event" => "link.unsent", "error" => %error);
+                link = None;
+            }
+            Err(_) => {
+                open.close();
+                link = None;
+            }
+        }
+    }
+}
+
+async fn connect(shared: &Shared, address: SocketAddr) -> Option<Link> {
+    match timeout(CONNECT_LIMIT, shared.endpoint.connect(address)).await {
+        Ok(Ok(link)) => Some(link),
+        Ok(Err(error)) => {
+            debug!(shared.log, "link: not made"; "event" => "link.unmade", "error" => %error);
+            sleep(RECONNECT).await;
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+/// Takes in links until the endpoint closes.
+pub(crate) async fn accept_links(endpoint: LinkEndpoint, outbox: Outbox, driver: Driver) {
+    while let Some(arriving) = endpoint.next_arriving().await {
+        let (outbox, driver) = (outbox.clone(), driver.clone());
+        tokio::spawn(async move {
+            let log = outbox.shared.log.clone();
+            match serve_arriving(arriving, outbox, driver).await {
+                Err(error) if error.is_refusal() => {
+                    warn!(log, "link: refused"; "event" => "link.refused", "error" => %error);
+                }
+                Err(error) => {
+                    debug!(log, "link: ended"; "event" => "link.ended", "error" => %error);
+                }
+                Ok(()) => {}
+            }
+        });
+    }
+}
+
+async fn serve_arriving(
+    arriving: Arriving,
+    outbox: Outbox,
+    driver: Driver,
+) -> Result<(), LinkError> {
+    let link = arriving.accept().await?;
+    let error = tokio::select! {
+        error = serve_requests(&link, &outbox, &driver) => error,
+        error = serve_messages(&link, &driver) => error,
+    };
+    Err(error)
+}
+
+/// Serves requests until the link ends.
+async fn serve_requests(link: &Link, outbox: &Outbox, driver: &Driver) -> LinkError {
+    loop {
+        match link.next_request().await {
+            Ok(incoming) => {
+                let (link, outbox, driver) = (link.clone(), outbox.clone(), driver.clone());
+                tokio::spawn(serve_request(incoming, link, outbox, driver));
+            }
+            Err(error) => return error,
+        }
+    }
+}
+
+/// Takes in messages of another replica until the link ends.
+async fn serve_messages(link: &Link, driver: &Driver) -> LinkError {
+    loop {
+        match link.next_message().await {
+            Ok(messages) => drop(driver.put(Input::Messages(messages))),
+            Err(error) => return error,
+        }
+    }
+}
+
+async fn serve_request(mut incoming: Incoming, link: Link, outbox: Outbox, driver: Driver) {
+    let log = &outbox.shared.log;
+    let req: Request = match incoming.read().await {
+        Ok(req) => req,
+        Err(error) => {
+            warn!(log, "link: bad request"; "event" => "link.bad_request", "error" => %error);
+            return;
+        }
+    };
+    let reply = if let Request::Hello(entry) = &req {
+        info!(log, "link: entry connected"; "event" => "link.entry", "entry" => %entry,
+            "peer" => %link.peer());
+        register_entry(&outbox, entry.clone(), link);
+        Reply::Done
+    } else {
+        driver.ask(req).await
+    };
+    if let Err(error) = incoming.reply(&reply).await {
+        debug!(log, "link: reply not sent"; "event" => "link.unsent", "error" => %error);
+    }
+}
+
+fn register_entry(outbox: &Outbox, entry: EntryName, link: Link) {
+    let (tx, rx) = channel(ENTRY_QUEUE_MAX);
+    lock(&outbox.shared.entries).insert(entry, tx);
+    outbox.shared.runtime.spawn(send_to_entry(link, rx));
+}
+
+async fn send_to_entry(link: Link, mut rx: Receiver<Directive>) {
+    while let Some(directive) = rx.recv().await {
+        if link.send(&directive).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Asks every control host for a place until this replica has one.
+pub(crate) async fn ask_to_join(
+    endpoint: LinkEndpoint,
+    id: ReplicaId,
+    address: SocketAddr,
+    peers: Vec<SocketAddr>,
+    log: Logger,
+) {
+    info!(log, "control: asks for a place"; "event" => "join.ask", "id" => %id);
+    loop {
+        for peer in peers.iter().filter(|peer| **peer != address) {
+            let req = Request::Join { id: id.clone(), address };
+            let asked = async {
+                let link = endpoint.connect(*peer).await?;
+                let reply = link.request::<_, Reply>(&req, CONNECT_LIMIT).await;
+                link.close();
+                reply
+            };
+            match timeout(CONNECT_LIMIT * 2, asked).await {
+                Ok(Ok(reply)) => debug!(log, "control: join"; "reply" => ?reply),
+                Ok(Err(error)) => debug!(log, "control: join"; "error" => %error),
+                Err(_) => {}
+            }
+        }
+        sleep(JOIN_EVERY).await;
+    }
+}
--- /dev/null
+++ b/crates/hg_control/src/main.rs
@@ -0,0 +1,77 @@
+//! `heathergrade-control`: the replicated log and the decisions.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use hg_control::{Founder, Options, run};
+use hg_settings::{ControlSettings, SettingsError, load, new_log};
+
+/// The settings are wrong; nothing was started.
+const EXIT_SETTINGS: u8 = 2;
+
+fn command() -> Command {
+    Command::new("heathergrade-control")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Keeps the replicated log of heathergrade and takes the decisions")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The settings file (TOML, see docs/SETTINGS.md)"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check-settings")
+                .action(ArgAction::SetTrue)
+                .help("Checks the settings, names all mistakes, and starts nothing"),
+        )
+        .arg(
+            Arg::new("found")
+                .long("found")
+                .value_name("HOST=ADDRESS,...")
+                .value_delimiter(',')
+                .value_parser(value_parser!(Founder))
+                .help("Founds a new group of these control hosts; only on empty data folders"),
+        )
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let file: &PathBuf = matches.get_one("settings").expect("clap requires it");
+    let settings = match read_settings(file) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches.get_flag("check") {
+        println!("{}: settings are good", file.display());
+        return ExitCode::SUCCESS;
+    }
+    let founders = matches.get_many("found").into_iter().flatten().cloned().collect();
+    let log = new_log(settings.log, settings.host.as_str());
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("heathergrade-control: runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run(settings, Options { founders }, log)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("heathergrade-control: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read_settings(file: &std::path::Path) -> Result<ControlSettings, SettingsError> {
+    let settings: ControlSettings = load(file)?;
+    settings.check(file)?;
+    Ok(settings)
+}
--- /dev/null
+++ b/crates/hg_control/src/views.rs
@@ -0,0 +1,119 @@
+//! What control shows of its state.
+
+use hg_ledger::Job;
+use hg_link::{AnswerSource, ClusterView, JobView, ReplicaView, Reply, UpstreamView};
+use hg_model::{Answer, JobId, JobLife};
+use hg_policy::{HealthState, Seat};
+use hg_replica::Disk;
+
+use crate::Core;
+
+impl<D: Disk> Core<D> {
+    /// A job as callers see it.
+    pub(crate) fn job_reply(&self, id: &JobId) -> Reply {
+        self.ledger.job(id).map_or(Reply::NoJob, |job| Reply::Job(Box::new(self.job_view(job))))
+    }
+
+    fn job_view(&self, job: &Job) -> JobView {
+        JobView {
+            id: job.spec.id.clone(),
+            account: job.spec.account.clone(),
+            kind: job.spec.kind.clone(),
+            state: job.life.word().to_owned(),
+            home: job.home.clone(),
+            body_sha256: job.spec.body_sha256.clone(),
+            attempts: job.attempts,
+            waits: self.scheduler.wait_reason(&job.spec.id).map(ToString::to_string),
+            answer: job.life.answer().cloned(),
+            source: self.answer_source(job),
+        }
+    }
+
+    fn answer_source(&self, job: &Job) -> Option<AnswerSource> {
+        let JobLife::Finished(life) = &job.life else { return None };
+        let finished = life.state();
+        if !matches!(finished.answer(), Answer::Answered { .. }) {
+            return None;
+        }
+        let attempt = finished.last()?;
+        let seat = self.scheduler.pool().seat(&attempt.members.first()?.upstream);
+        let address = seat.and_then(|seat| seat.spec.as_ref()).map(|spec| spec.address);
+        Some(AnswerSource { address, lease: attempt.lease(&job.spec.id, 0) })
+    }
+
+    /// The decisions about a job, and what it waits for.
+    pub(crate) fn why_reply(&self, id: &JobId) -> Reply {
+        let Some(job) = self.ledger.job(id) else { return Reply::NoJob };
+        let mut lines: Vec<String> = job.notes.iter().map(ToString::to_string).collect();
+        if let Some(reason) = self.scheduler.wait_reason(id) {
+            lines.push(format!("now: {reason}"));
+        } else if job.life.is_queued() {
+            lines.push("now: waits for its body, whose entry was lost".to_owned());
+        } else {
+            lines.push(format!("now: {}", job.life.word()));
+        }
+        Reply::Why(lines)
+    }
+
+    /// All upstreams.
+    pub(crate) fn upstream_views(&self) -> Vec<UpstreamView> {
+        let seats = self.scheduler.pool().seats();
+        seats.filter_map(|(_, seat)| self.upstream_view(seat)).collect()
+    }
+
+    fn upstream_view(&self, seat: &Seat) -> Option<UpstreamView> {
+        let spec = seat.spec.clone()?;
+        let state = if !seat.alive {
+            "lost"
+        } else if seat.leaving {
+            "leaving"
+        } else if seat.drained {
+            "drained"
+        } else if seat.aside {
+            "aside"
+        } else {
+            "open"
+        };
+        Some(UpstreamView {
+            spec,
+            state: state.to_owned(),
+            used_accelerators: seat.used.resources.accelerators,
+            guaranteed_accelerators: seat.marked.resources.accelerators,
+            jobs: seat.jobs.iter().cloned().collect(),
+        })
+    }
+
+    /// The control group.
+    pub(crate) fn cluster_view(&self) -> ClusterView {
+        let status = self.replica.status();
+        let replicas = status.configuration.peers.iter().map(|(id, peer)| ReplicaView {
+            host: id.host.clone(),
+            incarnation: id.incarnation,
+            address: peer.address,
+            voter: peer.voter,
+        });
+        let (jobs, finished) = self.ledger.job_counts();
+        let waiting = self.scheduler.waiting();
+        ClusterView {
+            leader: status.id.host.clone(),
+            term: status.term,
+            last: status.last.0,
+            commit: status.commit.0,
+            log_entries: status.log_entries as u64,
+            replicas: replicas.collect(),
+            lists: self.ledger.version(),
+            entries: self.entries.names().cloned().collect(),
+            upstreams: self.scheduler.pool().len() as u64,
+            waiting: waiting as u64,
+            running: jobs.saturating_sub(finished).saturating_sub(waiting) as u64,
+            finished: finished as u64,
+            shortages: self.scheduler.shortages().iter().map(ToString::to_string).collect(),
+        }
+    }
+
+    /// Whether any upstream is put aside at present, for the metrics page.
+    pub(crate) fn aside_count(&self, now: hg_model::Time) -> usize {
+        let aside = self.scheduler.aside(now);
+        aside.iter().filter(|(_, state)| *state != HealthState::Good).count()
+    }
+}
--- /dev/null
+++ b/crates/hg_entry/src/control_client.rs
@@ -0,0 +1,207 @@
+//! Finding the control leader and asking it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use hg_link::{Directive, Link, LinkEndpoint, LinkError, Reply, Request};
+use hg_model::EntryName;
+use slog::{Logger, debug, info};
+use tokio::sync::mpsc::Sender;
+use tokio::time::{Instant, sleep, timeout};
+
+/// How long one control host may take.
+const TRY_LIMIT: Duration = Duration::from_millis(800);
+/// How long to wait before the next host is asked.
+const PAUSE: Duration = Duration::from_millis(25);
+/// How long to wait when the leader has too much to do.
+const BUSY_PAUSE: Duration = Duration::from_millis(100);
+
+/// No control leader answered in time. What was asked may or may not have taken effect.
+#[derive(Debug, Display, Error)]
+#[display("control: {step}: no leader answered within {limit:?}; last heard: {last}")]
+pub struct ControlError {
+    /// What was asked.
+    pub step: &'static str,
+    /// How long it was tried.
+    pub limit: Duration,
+    /// The last obstacle.
+    #[error(not(source))]
+    pub last: String,
+}
+
+/// The way to the control leader.
+#[derive(Debug)]
+pub struct ControlClient {
+    endpoint: LinkEndpoint,
+    addresses: Vec<SocketAddr>,
+    name: EntryName,
+    log: Logger,
+    links: Mutex<BTreeMap<SocketAddr, Link>>,
+    leader: Mutex<Option<SocketAddr>>,
+    directives: Sender<Directive>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl ControlClient {
+    /// Names the control hosts and where their directives go.
+    pub fn new(
+        endpoint: LinkEndpoint,
+        addresses: Vec<SocketAddr>,
+        name: EntryName,
+        directives: Sender<Directive>,
+        log: Logger,
+    ) -> Self {
+        let (links, leader) = (Mutex::default(), Mutex::default());
+        Self { endpoint, addresses, name, log, links, leader, directives }
+    }
+
+    /// Asks the leader, wherever it is by now.
+    ///
+    /// # Errors
+    ///
+    /// [`ControlError`] if no leader answered within `limit`.
+    pub async fn ask(&self, req: &Request, limit: Duration) -> Result<Reply, ControlError> {
+        let deadline = Instant::now() + limit;
+        let mut turn = 0;
+        let mut last = "no host was tried".to_owned();
+        while Instant::now() < deadline {
+            let target = self.target(turn);
+            turn += 1;
+            match self.try_one(target, req).await {
+                Ok(Reply::NotLeader { address, .. }) => {
+                    last = format!("{target} does not lead");
+                    self.learn_leader(target, address);
+                    if address.is_none_or(|a| a == target) {
+                        sleep(PAUSE).await;
+                    }
+                }
+                Ok(Reply::Busy) => {
+                    last = format!("{target} is busy");
+                    sleep(BUSY_PAUSE).await;
+                }
+                Ok(reply) => {
+                    *lock(&self.leader) = Some(target);
+                    return Ok(reply);
+                }
+                Err(error) => {
+                    last = error.to_string();
+                    self.forget_leader(target);
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+        Err(ControlError { step: step_of(req), limit, last })
+    }
+
+    /// Keeps links to all control hosts, so that whichever leads can send directives.
+    pub async fn keep_links(&self) {
+        const CHECK: Duration = Duration::from_millis(250);
+        loop {
+            for address in &self.addresses {
+                if let Err(error) = self.link(*address).await {
+                    debug!(self.log, "control link: not made"; "event" => "link.unmade",
+                        "error" => %error);
+                }
+            }
+            sleep(CHECK).await;
+        }
+    }
+
+    /// Ends all links.
+    pub async fn close(&self) {
+        self.endpoint.close().await;
+    }
+
+    fn target(&self, turn: usize) -> SocketAddr {
+        let leader = *lock(&self.leader);
+        match leader {
+            // A leader that keeps failing must not keep the others from being asked.
+            Some(leader) if turn % 4 != 3 => leader,
+            _ => self.addresses[turn % self.addresses.len()],
+        }
+    }
+
+    fn learn_leader(&self, told_by: SocketAddr, address: Option<SocketAddr>) {
+        let known = address.filter(|a| *a != told_by && self.addresses.contains(a));
+        *lock(&self.leader) = known;
+    }
+
+    fn forget_leader(&self, target: SocketAddr) {
+        let mut leader = lock(&self.leader);
+        if *leader == Some(target) {
+            *leader = None;
+        }
+    }
+
+    async fn try_one(&self, target: SocketAddr, req: &Request) -> Result<Reply, LinkError> {
+        let link = self.link(target).await?;
+        let result = link.request(req, TRY_LIMIT).await;
+        if result.as_ref().is_err_and(|error| !error.is_timeout()) {
+            lock(&self.links).remove(&target);
+        }
+        result
+    }
+
+    /// The link to a control host, made anew if it has ended.
+    async fn link(&self, address: SocketAddr) -> Result<Link, LinkError> {
+        let open = lock(&self.links).get(&address).filter(|link| !link.is_closed()).cloned();
+        if let Some(link) = open {
+            return Ok(link);
+        }
+        let link = match timeout(TRY_LIMIT, self.endpoint.connect(address)).await {
+            Ok(link) => link?,
+            Err(_) => return Err(LinkError::connect_timeout(address)),
+        };
+        let _: Reply = link.request(&Request::Hello(self.name.clone()), TRY_LIMIT).await?;
+        info!(self.log, "control link: made"; "event" => "link.made", "peer" => %address);
+        tokio::spawn(receive(link.clone(), self.directives.clone(), self.log.clone()));
+        let before = lock(&self.links).insert(address, link.clone());
+        if let Some(before) = before {
+            before.close();
+        }
+        Ok(link)
+    }
+}
+
+async fn receive(link: Link, directives: Sender<Directive>, log: Logger) {
+    loop {
+        match link.next_message().await {
+            Ok(directive) => {
+                if directives.send(directive).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                debug!(log, "control link: ended"; "event" => "link.ended", "error" => %error);
+                return;
+            }
+        }
+    }
+}
+
+const fn step_of(req: &Request) -> &'static str {
+    match req {
+        Request::Hello(_) => "hello",
+        Request::Beats(_) => "beats",
+        Request::Submit { .. } => "submit",
+        Request::Job(_) => "job",
+        Request::Why(_) => "why",
+        Request::Cancel(_) => "cancel",
+        Request::Commit { .. } => "commit",
+        Request::Release { .. } => "release",
+        Request::Ended { .. } => "ended",
+        Request::GetLists => "lists get",
+        Request::CheckLists(_) => "lists check",
+        Request::PutLists { .. } => "lists put",
+        Request::Upstreams => "upstreams",
+        Request::Drain { .. } => "drain",
+        Request::Status => "status",
+        Request::Join { .. } => "join",
+    }
+}
--- /dev/null
+++ b/crates/hg_entry/src/main.rs
@@ -0,0 +1,62 @@
+//! `heathergrade-entry`: where callers, operators and upstreams connect.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use hg_entry::run;
+use hg_settings::{EntrySettings, load, new_log};
+
+/// The settings are wrong; nothing was started.
+const EXIT_SETTINGS: u8 = 2;
+
+fn command() -> Command {
+    Command::new("heathergrade-entry")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Takes in jobs, operators' requests and upstreams' announcements for heathergrade")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The settings file (TOML, see docs/SETTINGS.md)"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check-settings")
+                .action(ArgAction::SetTrue)
+                .help("Checks the settings, names all mistakes, and starts nothing"),
+        )
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let file: &PathBuf = matches.get_one("settings").expect("clap requires it");
+    let settings: EntrySettings = match load(file) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches.get_flag("check") {
+        println!("{}: settings are good", file.display());
+        return ExitCode::SUCCESS;
+    }
+    let log = new_log(settings.log, settings.name.as_str());
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("heathergrade-entry: runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run(settings, log)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("heathergrade-entry: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/hg_ledger/src/effect.rs
@@ -0,0 +1,55 @@
+//! What a command changed.
+
+use hg_model::{Answer, Attempt, AttemptResult, JobId, MarkId, StopCause, UpstreamName};
+
+/// One change to the ledger, for those that keep indices over it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// A job now waits for a placement.
+    Queued(JobId),
+    /// A job no longer waits.
+    Unqueued(JobId),
+    /// An attempt took its leases.
+    Taken {
+        /// The job.
+        job: JobId,
+        /// The attempt.
+        attempt: Attempt,
+    },
+    /// An attempt may start.
+    Committed {
+        /// The job.
+        job: JobId,
+    },
+    /// A running attempt is to stop.
+    Stopping {
+        /// The job.
+        job: JobId,
+        /// Why.
+        cause: StopCause,
+    },
+    /// An attempt gave its leases back.
+    Freed {
+        /// The job.
+        job: JobId,
+        /// The attempt.
+        attempt: Attempt,
+        /// How it ended; `None` if it was released before the commit.
+        result: Option<AttemptResult>,
+    },
+    /// A job has its final answer.
+    Finished {
+        /// The job.
+        job: JobId,
+        /// The answer.
+        answer: Answer,
+    },
+    /// A job's body or leases have a new home.
+    Rehomed(JobId),
+    /// The lists were replaced.
+    Lists,
+    /// A guaranteed part was moved.
+    Marked(MarkId),
+    /// An operator drained or resumed an upstream.
+    Drained(UpstreamName),
+}
--- /dev/null
+++ b/crates/hg_model/src/lib.rs
@@ -0,0 +1,40 @@
+//! The vocabulary of heathergrade: names, amounts, lists, jobs, leases and answers.
+//!
+//! This is the lowest layer. It does no I/O and knows no clock, so every other crate can use it.
+//!
+//! A short tour:
+//!
+//! * [`AccountName`], [`UpstreamName`], … are validated, shared, immutable strings.
+//! * [`Resources`] and [`Shape`] say how much a job needs.
+//! * [`Lists`] holds the two lists that operators edit: plans and client accounts.
+//! * [`JobSpec`] is what a caller asks for; [`Answer`] is what the caller gets.
+//! * [`Attempt`] and [`LeaseId`] tie a job to the upstreams that run it.
+//! * [`Life`] is the typestate of a job's life; [`JobLife`] stores it.
+
+mod answer;
+mod attempt;
+mod job;
+mod lease;
+mod life;
+mod lists;
+mod name;
+mod resources;
+mod time;
+mod upstream;
+
+pub use answer::{Answer, AnswerKind, AttemptResult, NotRunReason};
+pub use attempt::{Attempt, LeaseId, MarkId, Member, Term};
+pub use job::{JobClass, JobSpec, SpecError};
+pub use lease::{
+    ANSWER_SHA256_HEADER, BOOT_HEADER, LEASE_ORDER_HEADER, LEASE_STATE_HEADER, LeaseOrder,
+    LeaseState,
+};
+pub use life::{Finished, JobLife, Life, Placed, Queued, Running, StopCause};
+pub use lists::{Account, Guarantee, ListFault, ListVersion, Lists, Plan};
+pub use name::{
+    AccountName, DataCentreName, EntryName, HostName, JobId, KindName, NameError, OperationId,
+    PlanName, RackName, UpstreamName,
+};
+pub use resources::{Resources, Shape};
+pub use time::Time;
+pub use upstream::{UpstreamBeat, UpstreamSpec};
--- /dev/null
+++ b/crates/hg_model/src/life.rs
@@ -0,0 +1,201 @@
+//! The life cycle of a job, as types.
+//!
+//! Each state offers only the steps that may follow it, so a start before the commit or a second
+//! final answer does not compile.
+
+use derive_more::From;
+use serde::{Deserialize, Serialize};
+
+use crate::{Answer, Attempt, Time};
+
+/// A job in state `S`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Life<S> {
+    state: S,
+}
+
+/// Waits for a placement.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Queued {}
+
+/// Has leases; no member may start yet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed {
+    attempt: Attempt,
+}
+
+/// Committed: its members may start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Running {
+    attempt: Attempt,
+    stop: Option<StopCause>,
+}
+
+/// Has its one final answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finished {
+    answer: Answer,
+    at: Time,
+    last: Option<Attempt>,
+}
+
+/// Why a running job is being stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StopCause {
+    /// The caller or an operator cancelled it.
+    Cancelled,
+    /// A guarantee needs its place; it runs again later.
+    Reclaimed,
+}
+
+impl<S> Life<S> {
+    /// The data of the present state.
+    pub const fn state(&self) -> &S {
+        &self.state
+    }
+}
+
+impl Life<Queued> {
+    /// A job that has just been accepted.
+    pub const fn new() -> Self {
+        Self { state: Queued {} }
+    }
+
+    /// Takes leases.
+    pub fn place(self, attempt: Attempt) -> Life<Placed> {
+        Life { state: Placed { attempt } }
+    }
+
+    /// Ends without having run.
+    pub fn finish(self, answer: Answer, at: Time) -> Life<Finished> {
+        Life { state: Finished { answer, at, last: None } }
+    }
+}
+
+impl Default for Life<Queued> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Life<Placed> {
+    /// Every member is prepared; from here on they may start.
+    pub fn commit(self) -> Life<Running> {
+        Life { state: Running { attempt: self.state.attempt, stop: None } }
+    }
+
+    /// Gives the leases back; nothing has started.
+    pub fn release(self) -> Life<Queued> {
+        Life::new()
+    }
+}
+
+impl Life<Running> {
+    /// Asks the members to stop; the first cause stays.
+    #[must_use]
+    pub fn stop(mut self, cause: StopCause) -> Self {
+        self.state.stop.get_or_insert(cause);
+        self
+    }
+
+    /// Gives the leases back so that it can run again.
+    pub fn requeue(self) -> Life<Queued> {
+        Life::new()
+    }
+
+    /// Ends with its final answer.
+    pub fn finish(self, answer: Answer, at: Time) -> Life<Finished> {
+        Life { state: Finished { answer, at, last: Some(self.state.attempt) } }
+    }
+}
+
+impl Placed {
+    /// The attempt that holds the leases.
+    pub const fn attempt(&self) -> &Attempt {
+        &self.attempt
+    }
+}
+
+impl Running {
+    /// The attempt that holds the leases.
+    pub const fn attempt(&self) -> &Attempt {
+        &self.attempt
+    }
+
+    /// Why it is being stopped, if it is.
+    pub const fn stop(&self) -> Option<StopCause> {
+        self.stop
+    }
+}
+
+impl Finished {
+    /// The final answer.
+    pub const fn answer(&self) -> &Answer {
+        &self.answer
+    }
+
+    /// When it ended.
+    pub const fn at(&self) -> Time {
+        self.at
+    }
+
+    /// The attempt that produced the answer, if any ran.
+    pub const fn last(&self) -> Option<&Attempt> {
+        self.last.as_ref()
+    }
+}
+
+/// A job's life in any state, for storage.
+#[derive(Debug, Clone, PartialEq, Eq, From, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobLife {
+    /// See [`Queued`].
+    Queued(Life<Queued>),
+    /// See [`Placed`].
+    Placed(Life<Placed>),
+    /// See [`Running`].
+    Running(Life<Running>),
+    /// See [`Finished`].
+    Finished(Life<Finished>),
+}
+
+impl JobLife {
+    /// The attempt that holds leases now.
+    pub const fn attempt(&self) -> Option<&Attempt> {
+        match self {
+            Self::Placed(life) => Some(life.state().attempt()),
+            Self::Running(life) => Some(life.state().attempt()),
+            Self::Queued(_) | Self::Finished(_) => None,
+        }
+    }
+
+    /// The final answer, once there is one.
+    pub const fn answer(&self) -> Option<&Answer> {
+        match self {
+            Self::Finished(life) => Some(life.state().answer()),
+            _ => None,
+        }
+    }
+
+    /// Whether it waits for a placement.
+    pub const fn is_queued(&self) -> bool {
+        matches!(self, Self::Queued(_))
+    }
+
+    /// Whether it has its final answer.
+    pub const fn is_finished(&self) -> bool {
+        matches!(self, Self::Finished(_))
+    }
+
+    /// A word for the state.
+    pub const fn word(&self) -> &'static str {
+        match self {
+            Self::Queued(_) => "queued",
+            Self::Placed(_) => "placed",
+            Self::Running(_) => "running",
+            Self::Finished(_) => "finished",
+        }
+    }
+}
--- /dev/null
+++ b/crates/hg_model/src/name.rs
@@ -0,0 +1,123 @@
+//! Validated names, kept as shared immutable strings.
+
+use std::sync::Arc;
+
+use derive_more::{AsRef, Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// Longest accepted name, in bytes.
+pub const NAME_MAX_BYTES: usize = 64;
+
+/// A name that breaks the rules for names.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("{what} {text:?} is not 1 to {NAME_MAX_BYTES} characters out of a-z A-Z 0-9 . _ -")]
+pub struct NameError {
+    /// Which kind of name it should have been.
+    pub what: &'static str,
+    /// The start of the offending text.
+    pub text: String,
+}
+
+fn check(what: &'static str, text: &str) -> Result<(), NameError> {
+    let length_fits = !text.is_empty() && text.len() <= NAME_MAX_BYTES;
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    if length_fits && text.chars().all(allowed) {
+        return Ok(());
+    }
+    let text = text.chars().take(NAME_MAX_BYTES).collect();
+    Err(NameError { what, text })
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident, $what:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, AsRef, Serialize, Deserialize,
+        )]
+        #[serde(try_from = "String", into = "String")]
+        #[as_ref(str)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Checks and keeps a name.
+            ///
+            /// # Errors
+            ///
+            /// [`NameError`] if the text is empty, too long or has a character that is not allowed.
+            pub fn new(text: impl AsRef<str>) -> Result<Self, NameError> {
+                check($what, text.as_ref())?;
+                Ok(Self(Arc::from(text.as_ref())))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                Self::new(text)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.as_ref().to_owned()
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Names a client account.
+    AccountName,
+    "account name"
+);
+name_type!(
+    /// Names a plan that client accounts hold.
+    PlanName,
+    "plan name"
+);
+name_type!(
+    /// Names an upstream, the back-end process on one worker host.
+    UpstreamName,
+    "upstream name"
+);
+name_type!(
+    /// Names a host.
+    HostName,
+    "host name"
+);
+name_type!(
+    /// Names a rack, the failure and adjacency domain inside a data centre.
+    RackName,
+    "rack name"
+);
+name_type!(
+    /// Names a data centre.
+    DataCentreName,
+    "data centre name"
+);
+name_type!(
+    /// Names an entry process.
+    EntryName,
+    "entry name"
+);
+name_type!(
+    /// The request id that a caller chose for its job.
+    JobId,
+    "job id"
+);
+name_type!(
+    /// Names the kind of work, such as `quick-quote`.
+    KindName,
+    "kind"
+);
+name_type!(
+    /// The id that makes an operator's write idempotent.
+    OperationId,
+    "operation id"
+);
--- /dev/null
+++ b/crates/hg_policy/src/health.rs
@@ -0,0 +1,81 @@
+//! Upstreams that fail, told apart from jobs that fail.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use hg_model::{JobId, Time, UpstreamName};
+
+/// Longest time an upstream is put aside, as a multiple of the first.
+const ASIDE_FACTOR_MAX: u32 = 16;
+
+/// How an upstream is trusted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HealthState {
+    /// It takes any work.
+    Good,
+    /// It takes no work until then.
+    Aside(Time),
+    /// It takes a single idempotent job at a time.
+    Probation,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    failed: BTreeSet<JobId>,
+    until: Option<Time>,
+    times_aside: u32,
+}
+
+/// Which upstreams have failed what of late.
+#[derive(Debug, Default)]
+pub struct Health {
+    records: BTreeMap<UpstreamName, Record>,
+}
+
+impl Health {
+    /// How an upstream is trusted at `now`.
+    pub fn state(&self, now: Time, upstream: &UpstreamName) -> HealthState {
+        match self.records.get(upstream).and_then(|r| r.until) {
+            None => HealthState::Good,
+            Some(until) if now < until => HealthState::Aside(until),
+            Some(_) => HealthState::Probation,
+        }
+    }
+
+    /// Upstreams whose time aside is over.
+    pub fn on_probation(&self, now: Time) -> impl Iterator<Item = &UpstreamName> {
+        let is_over = move |r: &Record| r.until.is_some_and(|until| until <= now);
+        self.records.iter().filter(move |(_, r)| is_over(r)).map(|(name, _)| name)
+    }
+
+    /// A job failed there. Returns whether the upstream was put aside by it.
+    ///
+    /// Failures of one job count once, so that a bad job does not condemn an upstream.
+    pub fn note_failure(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamName,
+        job: &JobId,
+        aside_after: usize,
+        aside: Duration,
+    ) -> bool {
+        let record = self.records.entry(upstream.clone()).or_default();
+        let on_probation = record.until.is_some_and(|until| until <= now);
+        if record.failed.len() < aside_after {
+            record.failed.insert(job.clone());
+        }
+        if !on_probation && record.failed.len() < aside_after {
+            return false;
+        }
+        let factor = 1_u32.checked_shl(record.times_aside).unwrap_or(ASIDE_FACTOR_MAX);
+        record.until = Some(now.after(aside * factor.min(ASIDE_FACTOR_MAX)));
+        record.times_aside = record.times_aside.saturating_add(1);
+        record.failed.clear();
+        true
+    }
+
+    /// A job ended well there.
+    pub fn note_success(&mut self, upstream: &UpstreamName) {
+        self.records.remove(upstream);
+    }
+}
--- /dev/null
+++ b/crates/hg_policy/src/holding.rs
@@ -0,0 +1,51 @@
+//! What a placed job holds.
+
+use hg_model::{AccountName, MarkId, Time, UpstreamName};
+
+use crate::Room;
+
+/// By which right a task sits on its upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Tenure {
+    /// Inside a guaranteed part of its own account.
+    Claimed(MarkId),
+    /// Outside any guarantee, and it cannot be stopped.
+    Firm,
+    /// Outside any guarantee, and it can be stopped.
+    Borrowed,
+}
+
+/// The share of a holding on one upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HoldingMember {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// The room it takes.
+    pub room: Room,
+    /// By which right.
+    pub tenure: Tenure,
+}
+
+/// All that one attempt holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holding {
+    /// The attempt's number.
+    pub attempt: u32,
+    /// The account that pays.
+    pub account: AccountName,
+    /// When it was placed.
+    pub placed_at: Time,
+    /// Whether it may be stopped and run again.
+    pub stoppable: bool,
+    /// Whether a stop has been asked for.
+    pub stopping: bool,
+    /// One for each upstream.
+    pub members: Vec<HoldingMember>,
+}
+
+impl Holding {
+    /// The room of all members.
+    pub fn total(&self) -> Room {
+        self.members.iter().fold(Room::default(), |sum, member| sum.plus(&member.room))
+    }
+}
--- /dev/null
+++ b/crates/hg_policy/src/lib.rs
@@ -0,0 +1,36 @@
+//! The decisions: which job starts where, what is reclaimed, what waits and why.
+//!
+//! Everything is pure. Facts go in (what the ledger did, what upstreams say), `now` is an argument,
+//! and [`Decisions`] come out. The same code runs in the leader, in a fuzzer and in a replay.
+//!
+//! * [`Scheduler`] is the one seam: [`Scheduler::follow`] takes facts, [`Scheduler::decide`] decides.
+//! * [`Pool`] keeps the upstreams with their free room, indexed so that a decision needs no scan.
+//! * [`Marks`] keeps, for each guaranteed part, the upstream where it can be claimed. That set is the
+//!   proof that every guarantee fits by stopping only work that may be stopped.
+//! * [`Health`] puts upstreams aside that fail many different jobs.
+//! * [`check_fit`] refuses lists whose guarantees do not fit the pool together.
+
+mod claim;
+mod fit;
+mod health;
+mod holding;
+mod marks;
+mod placement;
+mod policy_config;
+mod pool;
+mod queue;
+mod reservation;
+mod room;
+mod scheduler;
+mod upkeep;
+mod wait;
+
+pub use fit::check_fit;
+pub use health::{Health, HealthState};
+pub use holding::{Holding, HoldingMember, Tenure};
+pub use marks::{MarkState, Marks};
+pub use policy_config::PolicyConfig;
+pub use pool::{Pool, RackId, Seat, SeatView};
+pub use room::Room;
+pub use scheduler::{Abort, Decisions, Refusal, Scheduler, Shortage};
+pub use wait::WaitReason;
--- /dev/null
+++ b/crates/hg_policy/src/marks.rs
@@ -0,0 +1,169 @@
+//! Guarantee accounting by shape.
+//!
+//! A guarantee is a block of equal parts. Each part is *marked* on one upstream: that much of the
+//! upstream is set apart for the account. Work that may be stopped can borrow it; work that cannot be
+//! stopped never enters it, unless it is the account's own. On every upstream
+//! `marked + firm <= capacity` holds, so stopping the borrowers always makes room for the claims.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hg_model::{AccountName, JobId, Lists, MarkId, Shape, UpstreamName};
+
+use crate::Room;
+
+/// One guaranteed part.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MarkState {
+    /// What it guarantees.
+    pub room: Room,
+    /// The whole block's shape.
+    pub block: Shape,
+    /// Where it lies.
+    pub upstream: Option<UpstreamName>,
+    /// What the account's jobs use of it.
+    pub claimed: Room,
+    /// The jobs that use it, or wait for borrowers to leave it.
+    pub claims: BTreeMap<JobId, Room>,
+}
+
+impl MarkState {
+    /// What can still be claimed.
+    pub fn unclaimed(&self) -> Room {
+        self.room.minus(&self.claimed)
+    }
+}
+
+/// All guaranteed parts.
+#[derive(Debug, Default)]
+pub struct Marks {
+    marks: BTreeMap<MarkId, MarkState>,
+    by_upstream: BTreeMap<UpstreamName, BTreeSet<MarkId>>,
+    homeless: BTreeSet<MarkId>,
+}
+
+/// Queries.
+impl Marks {
+    /// A part by id.
+    pub fn get(&self, id: &MarkId) -> Option<&MarkState> {
+        self.marks.get(id)
+    }
+
+    /// All parts.
+    pub fn iter(&self) -> impl Iterator<Item = (&MarkId, &MarkState)> {
+        self.marks.iter()
+    }
+
+    /// The parts of one account.
+    pub fn of_account(&self, account: &AccountName) -> impl Iterator<Item = (&MarkId, &MarkState)> {
+        let first = MarkId { account: account.clone(), block: 0, part: 0 };
+        self.marks.range(first..).take_while(move |(id, _)| id.account == *account)
+    }
+
+    /// The parts of one block.
+    pub fn of_block(&self, id: &MarkId) -> impl Iterator<Item = (&MarkId, &MarkState)> {
+        let first = MarkId { part: 0, ..id.clone() };
+        let (account, block) = (id.account.clone(), id.block);
+        self.marks
+            .range(first..)
+            .take_while(move |(other, _)| other.account == account && other.block == block)
+    }
+
+    /// The parts on one upstream.
+    pub fn on_upstream(&self, upstream: &UpstreamName) -> impl Iterator<Item = &MarkId> {
+        self.by_upstream.get(upstream).into_iter().flatten()
+    }
+
+    /// The parts that lie nowhere.
+    pub const fn homeless(&self) -> &BTreeSet<MarkId> {
+        &self.homeless
+    }
+}
+
+/// Commands.
+impl Marks {
+    /// All parts that the lists call for, lying nowhere yet.
+    pub fn new(lists: &Lists) -> Self {
+        let mut marks = Self::default();
+        for account in &lists.accounts {
+            let Some(plan) = lists.plan_of(&account.name) else { continue };
+            for (block, guarantee) in plan.guarantees.iter().enumerate() {
+                marks.add_block(&account.name, block, guarantee.0);
+            }
+        }
+        marks
+    }
+
+    fn add_block(&mut self, account: &AccountName, block: usize, shape: Shape) {
+        for part in 0..shape.tasks {
+            let id = MarkId {
+                account: account.clone(),
+                block: u16::try_from(block).unwrap_or(u16::MAX),
+                part: u16::try_from(part).unwrap_or(u16::MAX),
+            };
+            let state = MarkState {
+                room: Room::of_part(&shape),
+                block: shape,
+                upstream: None,
+                claimed: Room::default(),
+                claims: BTreeMap::new(),
+            };
+            self.homeless.insert(id.clone());
+            self.marks.insert(id, state);
+        }
+    }
+
+    /// Moves a part. Returns its room, where it lay, and the claims that it left behind.
+    pub(crate) fn settle(&mut self, id: &MarkId, upstream: Option<UpstreamName>) -> Option<Moved> {
+        let state = self.marks.get_mut(id)?;
+        if state.upstream == upstream {
+            return None;
+        }
+        let from = std::mem::replace(&mut state.upstream, upstream.clone());
+        let left = std::mem::take(&mut state.claims);
+        state.claimed = Room::default();
+        let room = state.room;
+        if let Some(from) = &from
+            && let Some(ids) = self.by_upstream.get_mut(from)
+        {
+            ids.remove(id);
+        }
+        match &upstream {
+            Some(name) => {
+                self.by_upstream.entry(name.clone()).or_default().insert(id.clone());
+                self.homeless.remove(id);
+            }
+            None => {
+                self.homeless.insert(id.clone());
+            }
+        }
+        Some(Moved { room, from, left })
+    }
+
+    /// Takes room of a part for a job, if that much is unclaimed.
+    pub(crate) fn claim(&mut self, id: &MarkId, job: &JobId, room: &Room) -> bool {
+        let Some(state) = self.marks.get_mut(id) else { return false };
+        if !room.fits(&state.unclaimed()) {
+            return false;
+        }
+        state.claimed = state.claimed.plus(room);
+        let sum = state.claims.entry(job.clone()).or_default();
+        *sum = sum.plus(room);
+        true
+    }
+
+    /// Gives a job's room of a part back.
+    pub(crate) fn unclaim(&mut self, id: &MarkId, job: &JobId) {
+        let Some(state) = self.marks.get_mut(id) else { return };
+        if let Some(room) = state.claims.remove(job) {
+            state.claimed = state.claimed.minus(&room);
+        }
+    }
+}
+
+/// What moving a part left behind.
+#[derive(Debug)]
+pub(crate) struct Moved {
+    pub(crate) room: Room,
+    pub(crate) from: Option<UpstreamName>,
+    pub(crate) left: BTreeMap<JobId, Room>,
+}
--- /dev/null
+++ b/crates/hg_policy/src/policy_config.rs
@@ -0,0 +1,60 @@
+//! The policy's settings.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Bounds and times of the policy.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PolicyConfig {
+    /// Most jobs that may wait; more are refused at the door.
+    pub queue_max: usize,
+    /// Most jobs of one account that may wait.
+    pub account_queue_max: usize,
+    /// Most placements tried in vain in one round.
+    pub tries_max: usize,
+    /// How long a job waits before room is held for it, in milliseconds.
+    pub reserve_after_ms: u64,
+    /// Most jobs that room is held for at once.
+    pub reservations_max: usize,
+    /// How long it takes for age to outweigh a whole share of the pool, in milliseconds.
+    pub ageing_ms: u64,
+    /// How many different jobs must fail on an upstream before it is put aside.
+    pub aside_after: usize,
+    /// How long an upstream is put aside at first, in milliseconds.
+    pub aside_ms: u64,
+    /// How long an upstream that holds leases may stay unseen, in milliseconds.
+    pub unseen_ms: u64,
+    /// How long before a stop or abort is asked for again, in milliseconds.
+    pub repeat_ms: u64,
+}
+
+impl Default for PolicyConfig {
+    fn default() -> Self {
+        Self {
+            queue_max: 20_000,
+            account_queue_max: 5_000,
+            tries_max: 64,
+            reserve_after_ms: 5_000,
+            reservations_max: 8,
+            ageing_ms: 600_000,
+            aside_after: 3,
+            aside_ms: 60_000,
+            unseen_ms: 10_000,
+            repeat_ms: 2_000,
+        }
+    }
+}
+
+impl PolicyConfig {
+    /// Returns how long an upstream that holds leases may stay unseen.
+    pub const fn unseen(&self) -> Duration {
+        Duration::from_millis(self.unseen_ms)
+    }
+
+    /// Returns how long before a stop or abort is asked for again.
+    pub const fn repeat(&self) -> Duration {
+        Duration::from_millis(self.repeat_ms)
+    }
+}
--- /dev/null
+++ b/crates/hg_policy/src/queue.rs
@@ -0,0 +1,127 @@
+//! The jobs that wait, by account and turn.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hg_ledger::Job;
+use hg_model::{AccountName, JobClass, JobId, JobSpec, Time};
+
+use crate::WaitReason;
+
+/// Orders the jobs of one account: urgent by deadline, the rest by arrival.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    class: JobClass,
+    key: Time,
+    job: JobId,
+}
+
+/// A job that waits.
+#[derive(Debug, Clone)]
+pub(crate) struct Waiting {
+    pub(crate) spec: JobSpec,
+    pub(crate) accepted_at: Time,
+    pub(crate) start_by: Time,
+    pub(crate) attempts: u32,
+    pub(crate) reason: WaitReason,
+}
+
+impl Waiting {
+    fn turn(&self) -> Turn {
+        let class = self.spec.class;
+        let key = if class == JobClass::Urgent { self.start_by } else { self.accepted_at };
+        Turn { class, key, job: self.spec.id.clone() }
+    }
+}
+
+/// All jobs that wait.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    jobs: BTreeMap<JobId, Waiting>,
+    accounts: BTreeMap<AccountName, BTreeSet<Turn>>,
+    urgent: BTreeSet<(Time, JobId)>,
+    deadlines: BTreeSet<(Time, JobId)>,
+    arrivals: BTreeSet<(Time, JobId)>,
+}
+
+/// Queries.
+impl Queue {
+    pub(crate) fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    pub(crate) fn get(&self, id: &JobId) -> Option<&Waiting> {
+        self.jobs.get(id)
+    }
+
+    pub(crate) fn account_len(&self, account: &AccountName) -> usize {
+        self.accounts.get(account).map_or(0, BTreeSet::len)
+    }
+
+    pub(crate) fn accounts(&self) -> impl Iterator<Item = &AccountName> {
+        self.accounts.keys()
+    }
+
+    /// An account's jobs in turn.
+    pub(crate) fn of_account(&self, account: &AccountName) -> impl Iterator<Item = &JobId> {
+        self.accounts.get(account).into_iter().flatten().map(|turn| &turn.job)
+    }
+
+    /// Urgent jobs, the earliest deadline first.
+    pub(crate) fn urgent(&self) -> impl Iterator<Item = &JobId> {
+        self.urgent.iter().map(|(_, id)| id)
+    }
+
+    /// Jobs that can no longer start in time.
+    pub(crate) fn overdue(&self, now: Time) -> impl Iterator<Item = &JobId> {
+        self.deadlines.iter().take_while(move |(at, _)| *at < now).map(|(_, id)| id)
+    }
+
+    /// Jobs by how long they have waited, the longest first.
+    pub(crate) fn oldest(&self) -> impl Iterator<Item = &JobId> {
+        self.arrivals.iter().map(|(_, id)| id)
+    }
+}
+
+/// Commands.
+impl Queue {
+    pub(crate) fn insert(&mut self, job: &Job) {
+        let waiting = Waiting {
+            spec: job.spec.clone(),
+            accepted_at: job.accepted_at,
+            start_by: job.start_by(),
+            attempts: job.attempts,
+            reason: WaitReason::Turn,
+        };
+        let id = job.spec.id.clone();
+        self.remove(&id);
+        if job.spec.class == JobClass::Urgent {
+            self.urgent.insert((waiting.start_by, id.clone()));
+        }
+        // A job that ran before is no longer bound to its first start.
+        if !job.ran {
+            self.deadlines.insert((waiting.start_by, id.clone()));
+        }
+        self.arrivals.insert((waiting.accepted_at, id.clone()));
+        self.accounts.entry(job.spec.account.clone()).or_default().insert(waiting.turn());
+        self.jobs.insert(id, waiting);
+    }
+
+    pub(crate) fn remove(&mut self, id: &JobId) {
+        let Some(waiting) = self.jobs.remove(id) else { return };
+        self.urgent.remove(&(waiting.start_by, id.clone()));
+        self.deadlines.remove(&(waiting.start_by, id.clone()));
+        self.arrivals.remove(&(waiting.accepted_at, id.clone()));
+        if let Some(turns) = self.accounts.get_mut(&waiting.spec.account) {
+            turns.remove(&waiting.turn());
+            if turns.is_empty() {
+                self.accounts.remove(&waiting.spec.account);
+            }
+        }
+    }
+
+    pub(crate) fn set_reason(&mut self, id: &JobId, reason: WaitReason) {
+        if let Some(waiting) = self.jobs.get_mut(id) {
+            waiting.reason = reason;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hg_policy/src/reservation.rs
@@ -0,0 +1,51 @@
+//! Room held for a job that has waited long.
+
+use std::cmp::Reverse;
+
+use hg_model::{JobSpec, UpstreamName};
+
+use crate::{Pool, RackId, Room, Seat};
+
+/// Chooses upstreams whose room, once the work there has ended, holds the whole job.
+///
+/// Of the racks that could hold an adjacent job, the one with the most room free now is chosen.
+pub(crate) fn choose_seats(pool: &Pool, spec: &JobSpec) -> Option<Vec<UpstreamName>> {
+    if spec.shape.adjacent {
+        let racks = pool.racks().filter_map(|(id, _)| {
+            let seats: Vec<(&UpstreamName, &Seat)> = pool.rack(id).collect();
+            let chosen = enough(seats, spec)?;
+            Some((free_now(pool, id, spec), chosen))
+        });
+        return racks.max_by_key(|(free, _)| *free).map(|(_, chosen)| chosen);
+    }
+    enough(pool.seats().collect(), spec)
+}
+
+fn free_now(pool: &Pool, id: &RackId, spec: &JobSpec) -> u32 {
+    let task = Room::of_task(&spec.shape);
+    let seats = pool.rack(id).filter(|(_, seat)| seat.is_open());
+    seats.map(|(_, seat)| seat.free().count_of(&task, spec.shape.tasks)).sum()
+}
+
+/// Takes the emptiest seats until the job fits.
+fn enough(mut seats: Vec<(&UpstreamName, &Seat)>, spec: &JobSpec) -> Option<Vec<UpstreamName>> {
+    let task = Room::of_task(&spec.shape);
+    seats.retain(|(_, seat)| seat.is_open() && seat.held_for.is_none());
+    seats.sort_by_key(|(name, seat)| (Reverse(seat.free().resources), *name));
+    let mut left = spec.shape.tasks;
+    let mut chosen = Vec::new();
+    for (name, seat) in seats {
+        // What is marked stays with its account; what is firm will end some day.
+        let eventual = seat.capacity().minus(&seat.marked);
+        let tasks = eventual.count_of(&task, left);
+        if tasks == 0 {
+            continue;
+        }
+        chosen.push(name.clone());
+        left -= tasks;
+        if left == 0 {
+            return Some(chosen);
+        }
+    }
+    None
+}
