--- a/crates/hg_control/src/drive.rs
+++ b/crates/hg_control/src/drive.rs
@@ -103,7 +103,13 @@
                 }
                 self.take_in(input, &mut events);
             }
+            let started = Instant::now();
+            let inputs = events.len();
             let actions = self.core.handle(self.clock.now(), events)?;
+            if inputs > 0 {
+                metrics::histogram!("hg_control_step_seconds").record(started.elapsed());
+                metrics::histogram!("hg_control_step_inputs").record(inputs as f64);
+            }
             self.carry_out(actions);
             self.set_gauges();
         }
--- a/crates/hg_control/src/file_disk.rs
+++ b/crates/hg_control/src/file_disk.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write as _};
 use std::path::{Path, PathBuf};
+use std::time::Instant;
 
 use hg_replica::Disk;
 
@@ -61,7 +62,10 @@
     }
 
     fn sync(&mut self) -> io::Result<()> {
-        self.writer()?.sync_data()
+        let started = Instant::now();
+        self.writer()?.sync_data()?;
+        metrics::histogram!("hg_control_sync_seconds").record(started.elapsed());
+        Ok(())
     }
 
     fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
