--- a/crates/hg_control/src/core.rs
+++ b/crates/hg_control/src/core.rs
@@ -25,7 +25,12 @@
 #[derive(Debug)]
 pub enum Event {
     /// Another replica spoke.
-    Message(Message),
+    Message {
+        /// Where it listens.
+        from: SocketAddr,
+        /// What it said.
+        message: Message,
+    },
     /// An entry or an operator asks.
     Request {
         /// For the reply.
@@ -96,8 +101,13 @@
     pending: BTreeMap<Index, (Command, Purpose)>,
     pub(crate) actions: Actions,
     proposed: bool,
+    /// Where replicas were heard from; a joiner knows no configuration yet.
+    heard_from: BTreeMap<ReplicaId, SocketAddr>,
 }
 
+/// Most replicas whose address is remembered from their messages.
+const HEARD_FROM_MAX: usize = 64;
+
 /// What a leader keeps besides the replicated state.
 #[derive(Debug)]
 pub(crate) struct Leading {
@@ -174,9 +184,20 @@
             pending: BTreeMap::new(),
             actions: Actions::default(),
             proposed: false,
+            heard_from: BTreeMap::new(),
+        }
+    }
+
+    fn note_address(&mut self, id: &ReplicaId, address: SocketAddr) {
+        if self.heard_from.len() < HEARD_FROM_MAX || self.heard_from.contains_key(id) {
+            self.heard_from.insert(id.clone(), address);
         }
     }
 
+    fn address_of(&self, id: &ReplicaId) -> Option<SocketAddr> {
+        self.replica.address_of(id).or_else(|| self.heard_from.get(id).copied())
+    }
+
     /// Takes in a batch of events and lets time pass.
     ///
     /// # Errors
@@ -185,7 +206,10 @@
     pub fn handle(&mut self, now: Time, events: Vec<Event>) -> Result<Actions, StorageError> {
         for event in events {
             match event {
-                Event::Message(message) => self.replica.step(now, message),
+                Event::Message { from, message } => {
+                    self.note_address(&message.from, from);
+                    self.replica.step(now, message);
+                }
                 Event::Request { ticket, req } => self.on_request(now, ticket, req),
                 Event::HandOver => self.replica.hand_over(now),
             }
@@ -209,7 +233,7 @@
             }
             self.storage.write(&out.writes)?;
             for message in out.messages {
-                if let Some(address) = self.replica.address_of(&message.to) {
+                if let Some(address) = self.address_of(&message.to) {
                     self.actions.messages.push((address, message));
                 }
             }
@@ -276,7 +300,7 @@
         let leader = self.replica.leader();
         Reply::NotLeader {
             leader: leader.map(|id| id.host.clone()),
-            address: leader.and_then(|id| self.replica.address_of(id)),
+            address: leader.and_then(|id| self.address_of(id)),
         }
     }
 
--- a/crates/hg_control/src/drive.rs
+++ b/crates/hg_control/src/drive.rs
@@ -6,11 +6,11 @@
 use std::time::{Duration, Instant};
 
 use hg_link::{Reply, Request};
-use hg_replica::{Disk, Message, StorageError};
+use hg_replica::{Disk, StorageError};
 use slog::{Logger, crit};
 use tokio::sync::oneshot;
 
-use crate::links::Outbox;
+use crate::links::{Outbox, PeerFrame};
 use crate::{Actions, Clock, Core, Event, Ticket};
 
 /// How long the core sleeps at most.
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub(crate) enum Input {
     /// Messages of another replica.
-    Messages(Vec<Message>),
+    Messages(PeerFrame),
     /// A request and where its reply goes.
     Request(Request, oneshot::Sender<Reply>),
     /// Leave the lead.
@@ -117,7 +117,10 @@
 
     fn take_in(&mut self, input: Input, events: &mut Vec<Event>) {
         match input {
-            Input::Messages(messages) => events.extend(messages.into_iter().map(Event::Message)),
+            Input::Messages(PeerFrame { from, messages }) => {
+                let event = |message| Event::Message { from, message };
+                events.extend(messages.into_iter().map(event));
+            }
             Input::Request(req, tx) => {
                 let ticket = Ticket(self.next);
                 self.next += 1;
--- a/crates/hg_control/src/found.rs
+++ b/crates/hg_control/src/found.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 /// How long each other host may take to say that a group exists.
-const ASK_LIMIT: Duration = Duration::from_secs(2);
+const ASK_LIMIT: Duration = Duration::from_secs(1);
 /// The incarnation of every founder.
 const FOUNDING_INCARNATION: u64 = 1;
 
--- a/crates/hg_control/src/leading.rs
+++ b/crates/hg_control/src/leading.rs
@@ -85,32 +85,10 @@
         leading.settled = true;
         info!(self.log, "control: places jobs"; "event" => "lead.settled",
             "upstreams" => self.scheduler.pool().len());
-        self.refuse_misfits(now);
         self.repeat_orders(now);
         true
     }
 
-    /// Jobs taken in before the upstreams were known may fit nowhere.
-    fn refuse_misfits(&mut self, now: Time) {
-        let misfits: Vec<(JobId, NotRunReason)> = self
-            .ledger
-            .jobs()
-            .filter(|job| job.life.is_queued())
-            .filter(|job| !self.scheduler.could_ever_fit(&job.spec.shape))
-            .map(|job| {
-                let reason = NotRunReason::FitsNowhere(job.spec.shape.to_string());
-                (job.spec.id.clone(), reason)
-            })
-            .collect();
-        // With no upstream at all nothing can be said about what fits.
-        if self.scheduler.pool().is_empty() {
-            return;
-        }
-        for (job, reason) in misfits {
-            self.propose(now, Command::GiveUp { job, reason, at: now }, Purpose::Kept);
-        }
-    }
-
     fn decide(&mut self, now: Time) {
         if self.leading.as_ref().is_none_or(|leading| leading.undecided > 0) {
             return;
--- a/crates/hg_control/src/links.rs
+++ b/crates/hg_control/src/links.rs
@@ -8,6 +8,7 @@
 use hg_link::{Arriving, Directive, Incoming, Link, LinkEndpoint, LinkError, Reply, Request};
 use hg_model::EntryName;
 use hg_replica::{Message, ReplicaId};
+use serde::{Deserialize, Serialize};
 use slog::{Logger, debug, info, warn};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
@@ -28,6 +29,13 @@
 /// How often a replica without a place asks for one.
 const JOIN_EVERY: Duration = Duration::from_millis(500);
 
+/// Messages from one replica to another, with where the sender listens.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct PeerFrame {
+    pub(crate) from: SocketAddr,
+    pub(crate) messages: Vec<Message>,
+}
+
 /// Where the core's words go.
 #[derive(Debug, Clone)]
 pub(crate) struct Outbox {
@@ -101,7 +109,8 @@
             link = connect(&shared, address).await;
         }
         let Some(open) = &link else { continue };
-        match timeout(CONNECT_LIMIT, open.send(&batch)).await {
+        let frame = PeerFrame { from: shared.endpoint.local(), messages: batch };
+        match timeout(CONNECT_LIMIT, open.send(&frame)).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => {
                 debug!(shared.log, "link: not sent"; "event" => "link.unsent", "error" => %error);
@@ -176,7 +185,9 @@
 async fn serve_messages(link: &Link, driver: &Driver) -> LinkError {
     loop {
         match link.next_message().await {
-            Ok(messages) => drop(driver.put(Input::Messages(messages))),
+            Ok(frame) => {
+                driver.put(Input::Messages(frame));
+            }
             Err(error) => return error,
         }
     }
--- a/crates/hg_control/src/requests.rs
+++ b/crates/hg_control/src/requests.rs
@@ -110,17 +110,13 @@
             let retry_after_ms =
                 refusal.retry_after.and_then(|span| span.as_millis().try_into().ok());
             // Before all upstreams are known nothing can be said about what fits.
-            let premature =
-                !self.is_settled() && matches!(refusal.reason, NotRunReason::FitsNowhere(_));
-            if !premature {
-                info!(self.log, "control: job refused"; "event" => "job.refused", "job" => %id,
-                    "account" => %spec.account, "lists" => self.ledger.version().0,
-                    "reason" => %refusal.reason);
-                return Some(Reply::Refused(RefusedView {
-                    reason: refusal.reason,
-                    retry_after_ms,
-                }));
+            if !self.is_settled() && matches!(refusal.reason, NotRunReason::FitsNowhere(_)) {
+                return Some(Reply::Busy);
             }
+            info!(self.log, "control: job refused"; "event" => "job.refused", "job" => %id,
+                "account" => %spec.account, "lists" => self.ledger.version().0,
+                "reason" => %refusal.reason);
+            return Some(Reply::Refused(RefusedView { reason: refusal.reason, retry_after_ms }));
         }
         self.ask(now, ticket, Command::Accept { spec, home, at: now }, ReplyKind::Job(id))
     }
@@ -175,6 +171,9 @@
     ) -> Option<Reply> {
         // A resent write or a lost race gets its answer from the ledger, whatever the pool is now.
         let is_current = expect == self.ledger.version();
+        if is_current && !self.is_settled() {
+            return Some(Reply::Busy);
+        }
         if is_current && let Err(faults) = self.scheduler.check_lists(&lists) {
             return Some(Reply::Faults(faults));
         }
--- /dev/null
+++ b/crates/hg_e2e/tests/bad_input.rs
@@ -0,0 +1,101 @@
+//! Bad input is refused with its place, and nothing is changed.
+
+use hg_e2e::{Deployment, job, sample_lists};
+use hyper::Method;
+use serde_json::json;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_is_refused() -> eyre::Result<()> {
+    let deployment = Deployment::start(1).await?;
+    let api = deployment.api(0);
+
+    let broken = api.send(Method::POST, "/v1/jobs", "{\"id\": ".to_owned()).await?;
+    assert_eq!((broken.status, &broken.body["code"]), (400, &json!("bad_request")));
+
+    let good = job("bad", true, 0, 0);
+    let mut cases = Vec::new();
+    for (field, value) in [
+        ("id", json!("a b")),
+        ("id", json!("")),
+        ("colour", json!(1)),
+        ("deadline_ms", json!(0)),
+        ("deadline_ms", json!(-1)),
+        ("deadline_ms", json!(u64::MAX)),
+        ("shape", json!({ "tasks": 0, "per_task": { "processors": 1 } })),
+        ("shape", json!({ "tasks": 129, "per_task": { "processors": 1 } })),
+        ("shape", json!({ "tasks": 1, "per_task": {} })),
+        ("shape", json!({ "tasks": 1, "per_task": { "processors": -1 } })),
+        ("shape", json!({ "tasks": 1, "per_task": { "processors": 4_294_967_296_u64 } })),
+        ("idempotent", json!("yes")),
+    ] {
+        let mut bad = good.clone();
+        bad[field] = value;
+        cases.push(bad);
+    }
+    for bad in cases {
+        let reply = api.submit(&bad).await?;
+        assert_eq!(
+            (reply.status, &reply.body["code"]),
+            (400, &json!("bad_request")),
+            "{bad}: {reply:?}"
+        );
+        assert!(reply.body["message"].as_str().is_some_and(|text| !text.is_empty()));
+    }
+
+    let mut large = good.clone();
+    large["body"] = json!("x".repeat(5 << 20));
+    let reply = api.submit(&large).await?;
+    assert_eq!((reply.status, &reply.body["code"]), (413, &json!("too_large")));
+
+    let mut stranger = good.clone();
+    stranger["account"] = json!("nobody");
+    let reply = api.submit(&stranger).await?;
+    assert_eq!((reply.status, &reply.body["kind"]), (422, &json!("not_run")), "{reply:?}");
+
+    let mut huge = good.clone();
+    huge["shape"] = json!({ "tasks": 1, "per_task": { "accelerators": 9 } });
+    let reply = api.submit(&huge).await?;
+    assert_eq!((reply.status, &reply.body["kind"]), (422, &json!("not_run")), "{reply:?}");
+    assert_eq!(deployment.witness().starts("bad"), 0, "none of these ran");
+
+    // The same id is the same job, and never another one.
+    let first = api.submit(&job("same", true, 0, 30_000)).await?;
+    assert_eq!(first.body["kind"], "answered", "{first:?}");
+    let other = deployment.api(1).submit(&job("same", false, 0, 30_000)).await?;
+    assert_eq!((other.status, &other.body["code"]), (409, &json!("id_taken")), "{other:?}");
+    let again = deployment.api(1).submit(&job("same", true, 0, 30_000)).await?;
+    assert_eq!(again.body["body"], first.body["body"]);
+    assert_eq!(deployment.witness().starts("same"), 1);
+
+    let unknown = api.get("/v1/nothing").await?;
+    assert_eq!((unknown.status, &unknown.body["code"]), (404, &json!("not_found")));
+    let no_job = api.get("/v1/jobs/none").await?;
+    assert_eq!(no_job.status, 404);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_lists_change_nothing() -> eyre::Result<()> {
+    let deployment = Deployment::start(1).await?;
+    let api = deployment.api(0);
+    let mut twice = sample_lists(1);
+    twice["account"] =
+        json!([{ "name": "a", "plan": "roster" }, { "name": "a", "plan": "roster" }]);
+    let mut no_plan = sample_lists(1);
+    no_plan["account"] = json!([{ "name": "a", "plan": "none" }]);
+    for (lists, place) in [
+        (twice, "account \"a\""),
+        (no_plan, "account \"a\""),
+        // Nine accelerators are guaranteed, but the pool has eight.
+        (sample_lists(9), "account \"lindqvist\" guarantee 1"),
+    ] {
+        let reply = api.put_lists("bad", 1, &lists).await?;
+        assert_eq!((reply.status, &reply.body["code"]), (422, &json!("list_faults")), "{reply:?}");
+        let faults = reply.body["faults"].to_string();
+        assert!(faults.contains(&json!(place).to_string()), "{faults} names {place}");
+    }
+    let unknown_field = json!({ "plan": [], "account": [], "extra": 1 });
+    assert_eq!(api.put_lists("bad", 1, &unknown_field).await?.status, 400);
+    assert_eq!(api.get("/v1/lists").await?.body["version"], 1, "nothing was changed");
+    Ok(())
+}
