--- a/crates/hg_control/src/requests.rs
+++ b/crates/hg_control/src/requests.rs
@@ -142,6 +142,7 @@
     ) -> Option<Reply> {
         info!(self.log, "control: member not prepared"; "event" => "gang.unprepared", "job" => %job,
             "attempt" => attempt, "upstream" => %upstream);
+        self.scheduler.suspect(now, upstream);
         self.ask(now, ticket, Command::Release { job, attempt, at: now }, ReplyKind::Done)
     }
 
--- a/crates/hg_policy/src/lib.rs
+++ b/crates/hg_policy/src/lib.rs
@@ -10,7 +10,9 @@
 //! * [`Health`] puts upstreams aside that fail many different jobs.
 //! * [`check_fit`] refuses lists whose guarantees do not fit the pool together.
 
+mod books;
 mod claim;
+mod decide;
 mod fit;
 mod health;
 mod holding;
@@ -21,6 +23,7 @@
 mod queue;
 mod reservation;
 mod room;
+mod round;
 mod scheduler;
 mod upkeep;
 mod wait;
--- a/crates/hg_policy/src/pool.rs
+++ b/crates/hg_policy/src/pool.rs
@@ -46,6 +46,8 @@
     pub drained: bool,
     /// Whether it is put aside or on probation.
     pub aside: bool,
+    /// Whether it has just refused a start; for a moment it gets no new work.
+    pub suspect: bool,
     /// The job that its free room is held for.
     pub held_for: Option<JobId>,
     /// Used by all tasks on it.
@@ -69,6 +71,7 @@
             leaving: false,
             drained: false,
             aside: false,
+            suspect: false,
             held_for: None,
             used: Room::default(),
             marked: Room::default(),
@@ -85,7 +88,12 @@
 
     /// Whether new work may be placed on it, apart from holds.
     pub const fn is_open(&self) -> bool {
-        self.alive && !self.leaving && !self.drained && !self.aside && self.spec.is_some()
+        self.alive
+            && !self.leaving
+            && !self.drained
+            && !self.aside
+            && !self.suspect
+            && self.spec.is_some()
     }
 
     /// From when on it counts as lost if it stays silent; `None` while it is heard.
@@ -456,7 +464,8 @@
             slots: self.free().slots,
             whole: self.used.is_zero(),
             silent: !self.alive,
-            closed_marked: !open && !self.marked.is_zero(),
+            // A moment's suspicion moves no guarantee.
+            closed_marked: !open && !self.suspect && !self.marked.is_zero(),
             capacity: open.then(|| self.capacity()),
             rack: self.spec.as_ref().map(RackId::of),
         }
--- a/crates/hg_policy/src/scheduler.rs
+++ b/crates/hg_policy/src/scheduler.rs
@@ -1,31 +1,25 @@
 //! The scheduler: facts in, decisions out.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use derive_more::Display;
 use hg_ledger::{Command, Effect, Ledger, Outcome};
 use hg_model::{
-    AccountName, Attempt, AttemptResult, JobClass, JobId, JobSpec, ListFault, Lists, MarkId,
-    Member, NotRunReason, Plan, Resources, Shape, StopCause, Term, Time, UpstreamBeat,
-    UpstreamName,
+    AccountName, Attempt, AttemptResult, JobId, JobSpec, ListFault, Lists, NotRunReason, Plan,
+    Resources, Shape, Time, UpstreamBeat, UpstreamName,
 };
 
-use crate::claim::find_claim;
 use crate::fit::fits_beside;
 use crate::placement::{Spot, find_room};
 use crate::queue::Queue;
 use crate::reservation::choose_seats;
 use crate::{
-    Health, HealthState, Holding, HoldingMember, MarkState, Marks, PolicyConfig, Pool, Room, Seat,
-    Tenure, WaitReason, check_fit,
+    Health, Holding, MarkState, Marks, PolicyConfig, Pool, Room, Seat, WaitReason, check_fit,
 };
 
-/// How far into an account's queue one round looks.
-const LOOKAHEAD: usize = 8;
-/// How many of the oldest jobs one round considers for a hold.
-const HOLD_LOOKAHEAD: usize = 32;
+/// How long an upstream that refused a start gets no new work.
+const SUSPECT: Duration = Duration::from_secs(2);
 
 /// What a round of decisions came to.
 #[derive(Debug, Default, PartialEq, Eq)]
@@ -70,9 +64,9 @@
 
 /// Places that a claim waits for.
 #[derive(Debug)]
-struct Pledge {
-    spots: Vec<Spot>,
-    room: Room,
+pub(crate) struct Pledge {
+    pub(crate) spots: Vec<Spot>,
+    pub(crate) room: Room,
 }
 
 /// Decides which job starts where and when.
@@ -82,19 +76,20 @@
     pub(crate) pool: Pool,
     pub(crate) marks: Marks,
     pub(crate) shortages: Vec<Shortage>,
-    lists: Lists,
-    plans: BTreeMap<AccountName, Plan>,
-    queue: Queue,
-    holdings: BTreeMap<JobId, Holding>,
-    usage: BTreeMap<AccountName, Room>,
-    pledges: BTreeMap<JobId, Pledge>,
-    holds: BTreeMap<JobId, Vec<UpstreamName>>,
-    health: Health,
-    aborted: BTreeMap<JobId, Time>,
-    marks_due: bool,
-    marks_settled_at: Time,
-    changed: bool,
-    next_look: Time,
+    pub(crate) lists: Lists,
+    pub(crate) plans: BTreeMap<AccountName, Plan>,
+    pub(crate) queue: Queue,
+    pub(crate) holdings: BTreeMap<JobId, Holding>,
+    pub(crate) usage: BTreeMap<AccountName, Room>,
+    pub(crate) pledges: BTreeMap<JobId, Pledge>,
+    pub(crate) holds: BTreeMap<JobId, Vec<UpstreamName>>,
+    pub(crate) health: Health,
+    pub(crate) suspects: BTreeMap<UpstreamName, Time>,
+    pub(crate) aborted: BTreeMap<JobId, Time>,
+    pub(crate) marks_due: bool,
+    pub(crate) marks_settled_at: Time,
+    pub(crate) changed: bool,
+    pub(crate) next_look: Time,
 }
 
 /// Queries.
@@ -208,7 +203,7 @@
     }
 
     /// An account's largest share of any resource of the pool, over its weight, in millionths.
-    fn weighted_share(&self, account: &AccountName) -> u64 {
+    pub(crate) fn weighted_share(&self, account: &AccountName) -> u64 {
         const MILLION: u64 = 1_000_000;
         let used = self.usage.get(account).copied().unwrap_or_default().resources;
         let total = self.pool.total().resources;
@@ -220,7 +215,7 @@
         dominant / u64::from(weight)
     }
 
-    fn is_within_limit(&self, spec: &JobSpec) -> bool {
+    pub(crate) fn is_within_limit(&self, spec: &JobSpec) -> bool {
         let used = self.usage.get(&spec.account).copied().unwrap_or_default().resources;
         let limit = self.plans.get(&spec.account).map_or(Resources::default(), |plan| plan.limit);
         used.plus(&spec.shape.total()).fits(&limit)
@@ -244,6 +239,7 @@
             pledges: BTreeMap::new(),
             holds: BTreeMap::new(),
             health: Health::default(),
+            suspects: BTreeMap::new(),
             aborted: BTreeMap::new(),
             marks_due: true,
             marks_settled_at: Time(0),
@@ -322,6 +318,16 @@
         news
     }
 
+    /// An upstream refused a start or could not be reached: it gets no new work for a moment.
+    ///
+    /// Otherwise a job could use up all its attempts on an upstream that has just died.
+    pub fn suspect(&mut self, now: Time, name: &UpstreamName) {
+        if self.pool.seat(name).is_some() {
+            self.suspects.insert(name.clone(), now.after(SUSPECT));
+            self.pool.update(now, name, |seat| seat.suspect = true);
+        }
+    }
+
     /// An upstream is no longer heard.
     pub fn lose(&mut self, now: Time, name: &UpstreamName) {
         self.pool.lose(now, name);
@@ -398,13 +404,13 @@
         }
     }
 
-    fn unqueue(&mut self, now: Time, id: &JobId) {
+    pub(crate) fn unqueue(&mut self, now: Time, id: &JobId) {
         self.queue.remove(id);
         self.drop_pledge(now, id);
         self.drop_hold(now, id);
     }
 
-    fn set_stopping(&mut self, id: &JobId, stopping: bool) {
+    pub(crate) fn set_stopping(&mut self, id: &JobId, stopping: bool) {
         if let Some(holding) = self.holdings.get_mut(id) {
             holding.stopping = stopping;
         }
@@ -418,6 +424,9 @@
         result: Option<&AttemptResult>,
     ) {
         let aside = Duration::from_millis(self.cfg.aside_ms);
+        if let Some(AttemptResult::NeverStarted { upstream }) = result {
+            self.suspect(now, upstream);
+        }
         match result {
             Some(
                 AttemptResult::Failed { upstream, .. }
@@ -441,519 +450,6 @@
     }
 }
 
-/// Books.
-impl Scheduler {
-    /// Books an attempt's leases.
-    fn take(&mut self, now: Time, spec: &JobSpec, attempt: &Attempt) {
-        let id = &spec.id;
-        if self.holdings.get(id).is_some_and(|h| h.attempt == attempt.number) {
-            return;
-        }
-        self.unqueue(now, id);
-        let task = Room::of_task(&spec.shape);
-        let mut members = Vec::new();
-        for member in &attempt.members {
-            let room = task.times(member.tasks);
-            let tenure = self.tenure(spec, member, &room);
-            members.push(HoldingMember { upstream: member.upstream.clone(), room, tenure });
-        }
-        let holding = Holding {
-            attempt: attempt.number,
-            account: spec.account.clone(),
-            placed_at: attempt.placed_at,
-            stoppable: spec.is_stoppable(),
-            stopping: false,
-            members,
-        };
-        for member in &holding.members {
-            let firm = if member.tenure == Tenure::Firm { member.room } else { Room::default() };
-            self.pool.update(now, &member.upstream, |seat| {
-                seat.used = seat.used.plus(&member.room);
-                seat.firm = seat.firm.plus(&firm);
-                seat.jobs.insert(id.clone());
-            });
-        }
-        let used = self.usage.entry(spec.account.clone()).or_default();
-        *used = used.plus(&holding.total());
-        self.holdings.insert(id.clone(), holding);
-    }
-
-    fn tenure(&mut self, spec: &JobSpec, member: &Member, room: &Room) -> Tenure {
-        if let Some(mark) = &member.mark {
-            let lies_there =
-                self.marks.get(mark).and_then(|s| s.upstream.as_ref()) == Some(&member.upstream);
-            if lies_there && self.marks.claim(mark, &spec.id, room) {
-                return Tenure::Claimed(mark.clone());
-            }
-        }
-        if spec.is_stoppable() { Tenure::Borrowed } else { Tenure::Firm }
-    }
-
-    /// Gives an attempt's leases back.
-    fn untake(&mut self, now: Time, id: &JobId) {
-        self.aborted.remove(id);
-        let Some(holding) = self.holdings.remove(id) else { return };
-        for member in &holding.members {
-            let firm = if member.tenure == Tenure::Firm { member.room } else { Room::default() };
-            if let Tenure::Claimed(mark) = &member.tenure {
-                self.marks.unclaim(mark, id);
-            }
-            self.pool.update(now, &member.upstream, |seat| {
-                seat.used = seat.used.minus(&member.room);
-                seat.firm = seat.firm.minus(&firm);
-                seat.jobs.remove(id);
-            });
-            self.pool.forget_if_gone(&member.upstream);
-        }
-        if let Some(used) = self.usage.get_mut(&holding.account) {
-            *used = used.minus(&holding.total());
-            if used.is_zero() {
-                self.usage.remove(&holding.account);
-            }
-        }
-        self.marks_due |= !self.shortages.is_empty();
-    }
-
-    /// Moves a guaranteed part; claims left behind become ordinary work.
-    pub(crate) fn settle_mark(&mut self, now: Time, id: &MarkId, upstream: Option<UpstreamName>) {
-        let Some(moved) = self.marks.settle(id, upstream.clone()) else { return };
-        for job in moved.left.keys() {
-            self.leave_mark(now, job, id);
-        }
-        if let Some(from) = &moved.from {
-            self.pool.update(now, from, |seat| seat.marked = seat.marked.minus(&moved.room));
-            self.pool.forget_if_gone(from);
-        }
-        if let Some(to) = &upstream {
-            self.pool.update(now, to, |seat| seat.marked = seat.marked.plus(&moved.room));
-        }
-    }
-
-    fn leave_mark(&mut self, now: Time, job: &JobId, id: &MarkId) {
-        self.drop_pledge(now, job);
-        let Some(holding) = self.holdings.get_mut(job) else { return };
-        let stoppable = holding.stoppable;
-        let left = holding.members.iter_mut().filter(|m| m.tenure == Tenure::Claimed(id.clone()));
-        for member in left {
-            if stoppable {
-                member.tenure = Tenure::Borrowed;
-                continue;
-            }
-            member.tenure = Tenure::Firm;
-            let room = member.room;
-            self.pool.update(now, &member.upstream, |seat| seat.firm = seat.firm.plus(&room));
-        }
-    }
-
-    fn add_pledge(&mut self, now: Time, spec: &JobSpec, spots: Vec<Spot>) {
-        let task = Room::of_task(&spec.shape);
-        for spot in &spots {
-            let room = task.times(spot.tasks);
-            if let Some(mark) = &spot.mark {
-                self.marks.claim(mark, &spec.id, &room);
-            }
-            self.pool.update(now, &spot.upstream, |seat| seat.pledged = seat.pledged.plus(&room));
-        }
-        self.pledges.insert(spec.id.clone(), Pledge { spots, room: task });
-    }
-
-    fn drop_pledge(&mut self, now: Time, id: &JobId) {
-        let Some(pledge) = self.pledges.remove(id) else { return };
-        for spot in &pledge.spots {
-            let room = pledge.room.times(spot.tasks);
-            if let Some(mark) = &spot.mark {
-                self.marks.unclaim(mark, id);
-            }
-            self.pool.update(now, &spot.upstream, |seat| seat.pledged = seat.pledged.minus(&room));
-            self.pool.forget_if_gone(&spot.upstream);
-        }
-    }
-
-    fn drop_hold(&mut self, now: Time, id: &JobId) {
-        for name in self.holds.remove(id).unwrap_or_default() {
-            self.pool.update(now, &name, |seat| seat.held_for = None);
-            self.pool.forget_if_gone(&name);
-        }
-    }
-}
-
-/// Decisions.
-impl Scheduler {
-    /// Decides all that can be decided now.
-    ///
-    /// What comes out is assumed to take effect; [`Scheduler::retract`] takes it back otherwise.
-    pub fn decide(&mut self, now: Time, term: Term) -> Decisions {
-        const LOOK_AGAIN: Duration = Duration::from_millis(250);
-        let mut out = Decisions::default();
-        if !self.changed && now < self.next_look {
-            return out;
-        }
-        self.changed = false;
-        self.next_look = now.after(LOOK_AGAIN);
-        self.expire(now, &mut out);
-        self.take_back_untried(now);
-        if std::mem::take(&mut self.marks_due) || self.has_newly_lost_marks(now) {
-            self.marks_settled_at = now;
-            self.settle_marks(now, &mut out);
-        }
-        self.abort_lost(now, &mut out);
-        let mut round = Round { now, term, tries: self.cfg.tries_max, failed: Vec::new(), out };
-        self.continue_pledges(&mut round);
-        self.start_claims(&mut round);
-        self.start_urgent(&mut round);
-        self.start_rest(&mut round);
-        self.hold_for_old(&mut round);
-        round.out
-    }
-
-    fn take_back_untried(&mut self, now: Time) {
-        for name in self.health.take_back_untried(now) {
-            self.pool.update(now, &name, |seat| seat.aside = false);
-            self.pool.forget_if_gone(&name);
-            self.marks_due = true;
-        }
-    }
-
-    fn expire(&mut self, now: Time, out: &mut Decisions) {
-        let overdue: Vec<JobId> = self.queue.overdue(now).cloned().collect();
-        for job in overdue {
-            self.unqueue(now, &job);
-            out.commands.push(Command::GiveUp { job, reason: NotRunReason::Deadline, at: now });
-        }
-    }
-
-    /// Whether an upstream with guaranteed parts has come to count as lost since they were settled.
-    fn has_newly_lost_marks(&self, now: Time) -> bool {
-        let mut closed = self.pool.closed_marked();
-        closed.any(|(_, seat)| {
-            let since = seat.lost_since(self.cfg.unseen());
-            since.is_some_and(|at| at <= now && at > self.marks_settled_at)
-        })
-    }
-
-    /// Attempts with a member on an upstream that has been unseen for too long.
-    fn abort_lost(&mut self, now: Time, out: &mut Decisions) {
-        let unseen = self.cfg.unseen();
-        let lost = self.pool.silent().filter(|(_, seat)| {
-            !seat.jobs.is_empty() && seat.lost_since(unseen).is_some_and(|at| at <= now)
-        });
-        for (name, seat) in lost {
-            for job in &seat.jobs {
-                let Some(holding) = self.holdings.get(job) else { continue };
-                let asked = self.aborted.get(job);
-                if asked.is_some_and(|at| now < at.after(self.cfg.repeat())) {
-                    continue;
-                }
-                self.aborted.insert(job.clone(), now);
-                let (job, attempt, upstream) = (job.clone(), holding.attempt, name.clone());
-                out.aborts.push(Abort { job, attempt, upstream });
-            }
-        }
-    }
-
-    /// Starts claims whose borrowers have left; asks for what is still missing.
-    fn continue_pledges(&mut self, round: &mut Round) {
-        let ids: Vec<JobId> = self.pledges.keys().cloned().collect();
-        for id in ids {
-            let Some(pledge) = self.pledges.get(&id) else { continue };
-            let spots = pledge.spots.clone();
-            let room = pledge.room;
-            let open = spots.iter().all(|s| self.pool.seat(&s.upstream).is_some_and(Seat::is_open));
-            if !open {
-                self.drop_pledge(round.now, &id);
-                continue;
-            }
-            let ready = spots.iter().all(|spot| self.has_physical_room(spot, &spots, &room));
-            if ready {
-                self.drop_pledge(round.now, &id);
-                self.place(round, &id, spots);
-            } else {
-                self.reclaim(round, &spots);
-            }
-        }
-    }
-
-    fn has_physical_room(&self, spot: &Spot, spots: &[Spot], task: &Room) -> bool {
-        let Some(seat) = self.pool.seat(&spot.upstream) else { return false };
-        let here = spots.iter().filter(|s| s.upstream == spot.upstream).map(|s| s.tasks).sum();
-        task.times(here).fits(&seat.capacity().minus(&seat.used))
-    }
-
-    /// Stops borrowers until every pledge on these upstreams has room.
-    fn reclaim(&mut self, round: &mut Round, spots: &[Spot]) {
-        let upstreams: BTreeSet<&UpstreamName> = spots.iter().map(|spot| &spot.upstream).collect();
-        for upstream in upstreams {
-            for (job, attempt) in self.borrowers_to_stop(upstream) {
-                self.set_stopping(&job, true);
-                let cause = StopCause::Reclaimed;
-                round.out.commands.push(Command::Stop { job, attempt, cause, at: round.now });
-            }
-        }
-    }
-
-    /// The borrowers that lose the least work: those that started last.
-    fn borrowers_to_stop(&self, upstream: &UpstreamName) -> Vec<(JobId, u32)> {
-        let Some(seat) = self.pool.seat(upstream) else { return Vec::new() };
-        let mut wanted = seat.used.plus(&seat.pledged);
-        let mut borrowers = Vec::new();
-        for job in &seat.jobs {
-            let Some(holding) = self.holdings.get(job) else { continue };
-            let here = holding.members.iter().filter(|m| m.upstream == *upstream);
-            let room = here.fold(Room::default(), |sum, m| sum.plus(&m.room));
-            let borrows = holding.members.iter().any(|m| m.tenure == Tenure::Borrowed);
-            if holding.stopping {
-                wanted = wanted.minus(&room);
-            } else if borrows && holding.stoppable {
-                borrowers.push((holding.placed_at, job.clone(), holding.attempt, room));
-            }
-        }
-        borrowers.sort_by_key(|borrower| Reverse(borrower.0));
-        let mut stopped = Vec::new();
-        for (_, job, attempt, room) in borrowers {
-            if wanted.fits(&seat.capacity()) {
-                break;
-            }
-            wanted = wanted.minus(&room);
-            stopped.push((job, attempt));
-        }
-        stopped
-    }
-
-    /// Guarantees first: every account with waiting jobs and unclaimed parts.
-    fn start_claims(&mut self, round: &mut Round) {
-        let accounts: Vec<AccountName> = self
-            .queue
-            .accounts()
-            .filter(|account| self.marks.of_account(account).next().is_some())
-            .cloned()
-            .collect();
-        for account in accounts {
-            let jobs: Vec<JobId> =
-                self.queue.of_account(&account).take(LOOKAHEAD).cloned().collect();
-            for id in jobs {
-                self.try_claim(round, &id);
-            }
-        }
-    }
-
-    fn try_claim(&mut self, round: &mut Round, id: &JobId) {
-        let Some(waiting) = self.queue.get(id) else { return };
-        if self.pledges.contains_key(id) || !self.is_within_limit(&waiting.spec) {
-            return;
-        }
-        let spec = waiting.spec.clone();
-        let Some(claim) = find_claim(&self.pool, &self.marks, &spec) else { return };
-        if !claim.needs_reclaim {
-            self.place(round, id, claim.spots);
-            return;
-        }
-        // Nobody is stopped while there is room elsewhere.
-        if let Ok(spots) = find_room(&self.pool, &spec, self.held(id)) {
-            self.place(round, id, spots);
-            return;
-        }
-        if let Some(first) = claim.spots.first() {
-            self.queue.set_reason(id, WaitReason::Reclaiming(first.upstream.clone()));
-        }
-        self.add_pledge(round.now, &spec, claim.spots.clone());
-        self.reclaim(round, &claim.spots);
-    }
-
-    fn start_urgent(&mut self, round: &mut Round) {
-        let urgent: Vec<JobId> = self.queue.urgent().take(round.tries).cloned().collect();
-        for id in urgent {
-            self.try_start(round, &id);
-        }
-    }
-
-    /// The rest by weighted dominant share, less what age is worth.
-    fn start_rest(&mut self, round: &mut Round) {
-        let mut order: BTreeSet<(i64, AccountName, usize)> = BTreeSet::new();
-        let accounts: Vec<AccountName> = self.queue.accounts().cloned().collect();
-        for account in accounts {
-            order.insert((self.turn_key(round.now, &account), account, 0));
-        }
-        while let Some((_, account, skipped)) = order.pop_first() {
-            if round.tries == 0 {
-                break;
-            }
-            let next = self
-                .queue
-                .of_account(&account)
-                .filter(|id| !self.pledges.contains_key(id))
-                .nth(skipped)
-                .cloned();
-            let Some(id) = next else { continue };
-            let started = self.try_start(round, &id);
-            let skipped = if started { skipped } else { skipped + 1 };
-            if skipped < LOOKAHEAD {
-                order.insert((self.turn_key(round.now, &account), account, skipped));
-            }
-        }
-    }
-
-    /// The smaller, the sooner: a share in millionths, less the age of the account's oldest job.
-    fn turn_key(&self, now: Time, account: &AccountName) -> i64 {
-        const MILLION: u128 = 1_000_000;
-        let first = self.queue.of_account(account).next().and_then(|id| self.queue.get(id));
-        let age = first.map_or(0, |waiting| now.since(waiting.accepted_at).as_millis());
-        let worth = age * MILLION / u128::from(self.cfg.ageing_ms.max(1));
-        let share = i64::try_from(self.weighted_share(account)).unwrap_or(i64::MAX);
-        share.saturating_sub(i64::try_from(worth).unwrap_or(i64::MAX))
-    }
-
-    /// Starts a job outside guarantees if there is room. Returns whether it did.
-    fn try_start(&mut self, round: &mut Round, id: &JobId) -> bool {
-        let Some(waiting) = self.queue.get(id) else { return false };
-        if round.tries == 0 || self.pledges.contains_key(id) {
-            return false;
-        }
-        if !self.is_within_limit(&waiting.spec) {
-            self.queue.set_reason(id, WaitReason::PlanLimit);
-            return false;
-        }
-        let spec = waiting.spec.clone();
-        if let Some(spots) = self.probation_spot(round.now, &spec) {
-            self.place(round, id, spots);
-            return true;
-        }
-        let held = self.held(id);
-        if held.is_empty()
-            && let Some(reason) = round.hopeless(&spec)
-        {
-            self.queue.set_reason(id, reason);
-            return false;
-        }
-        match find_room(&self.pool, &spec, held) {
-            Ok(spots) => {
-                self.place(round, id, spots);
-                true
-            }
-            Err(reason) => {
-                round.tries -= 1;
-                round.failed.push((spec, reason.clone()));
-                let held = self.holds.get(id).and_then(|h| Some((h.len(), h.first()?.clone())));
-                let reason = held.map_or(reason, |(count, first)| WaitReason::Held(count, first));
-                self.queue.set_reason(id, reason);
-                false
-            }
-        }
-    }
-
-    fn held(&self, id: &JobId) -> &[UpstreamName] {
-        self.holds.get(id).map_or(&[], Vec::as_slice)
-    }
-
-    /// An upstream on probation takes one idempotent task, and nothing else until that ends.
-    fn probation_spot(&self, now: Time, spec: &JobSpec) -> Option<Vec<Spot>> {
-        if !spec.idempotent || spec.shape.tasks != 1 || spec.class == JobClass::Urgent {
-            return None;
-        }
-        let task = Room::of_task(&spec.shape);
-        let name = self.health.on_probation(now).find(|name| {
-            self.pool.seat(name).is_some_and(|seat| {
-                let usable = seat.alive && !seat.leaving && !seat.drained;
-                usable && seat.jobs.is_empty() && task.fits(&seat.free())
-            })
-        })?;
-        Some(vec![Spot { upstream: name.clone(), tasks: 1, mark: None }])
-    }
-
-    /// Books and logs a placement.
-    fn place(&mut self, round: &mut Round, id: &JobId, spots: Vec<Spot>) {
-        let Some(waiting) = self.queue.get(id) else { return };
-        let spec = waiting.spec.clone();
-        let members: Vec<Member> = spots
-            .into_iter()
-            .map(|spot| Member { upstream: spot.upstream, tasks: spot.tasks, mark: spot.mark })
-            .collect();
-        let committed = members.len() == 1;
-        let attempt = Attempt {
-            number: waiting.attempts + 1,
-            term: round.term,
-            placed_at: round.now,
-            members,
-        };
-        self.take(round.now, &spec, &attempt);
-        let at = round.now;
-        round.out.commands.push(Command::Place { job: id.clone(), attempt, committed, at });
-    }
-
-    /// Holds room for large jobs that have waited long.
-    fn hold_for_old(&mut self, round: &mut Round) {
-        let now = round.now;
-        let broken: Vec<JobId> = self
-            .holds
-            .iter()
-            .filter(|(_, names)| {
-                names.iter().any(|n| !self.pool.seat(n).is_some_and(Seat::is_open))
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in broken {
-            self.drop_hold(now, &id);
-        }
-        let patience = Duration::from_millis(self.cfg.reserve_after_ms);
-        let old: Vec<JobSpec> = self
-            .queue
-            .oldest()
-            .take(HOLD_LOOKAHEAD)
-            .filter_map(|id| self.queue.get(id))
-            .filter(|w| now >= w.accepted_at.after(patience))
-            .filter(|w| {
-                !self.holds.contains_key(&w.spec.id) && !self.pledges.contains_key(&w.spec.id)
-            })
-            .filter(|w| self.is_within_limit(&w.spec))
-            .map(|w| w.spec.clone())
-            .collect();
-        for spec in old {
-            if self.holds.len() >= self.cfg.reservations_max {
-                break;
-            }
-            let chosen = choose_seats(&self.pool, &spec).or_else(|| {
-                self.clear_room(now, &spec, &mut round.out);
-                choose_seats(&self.pool, &spec)
-            });
-            let Some(names) = chosen else { continue };
-            for name in &names {
-                self.pool.update(now, name, |seat| seat.held_for = Some(spec.id.clone()));
-            }
-            self.holds.insert(spec.id, names);
-            self.changed = true;
-        }
-    }
-
-    /// Upstreams that are put aside at `now`, with the time until when.
-    pub fn aside(&self, now: Time) -> Vec<(UpstreamName, HealthState)> {
-        let aside = self.pool.seats().filter(|(_, seat)| seat.aside);
-        aside.map(|(name, _)| (name.clone(), self.health.state(now, name))).collect()
-    }
-}
-
-/// One round of decisions.
-#[derive(Debug)]
-struct Round {
-    now: Time,
-    term: Term,
-    tries: usize,
-    failed: Vec<(JobSpec, WaitReason)>,
-    out: Decisions,
-}
-
-impl Round {
-    /// Whether a smaller or easier job has already found no room in this round.
-    fn hopeless(&self, spec: &JobSpec) -> Option<WaitReason> {
-        let as_hard = |other: &JobSpec| {
-            let (a, b) = (&other.shape, &spec.shape);
-            a.per_task.fits(&b.per_task)
-                && a.tasks <= b.tasks
-                && (b.adjacent || !a.adjacent)
-                && (other.is_stoppable() || !spec.is_stoppable())
-        };
-        self.failed.iter().find(|(other, _)| as_hard(other)).map(|(_, reason)| reason.clone())
-    }
-}
-
 impl Seat {
     /// Forgets what is used, marked, pledged and held.
     fn clear(&mut self) {
--- a/crates/hg_policy/tests/support/oracle.rs
+++ b/crates/hg_policy/tests/support/oracle.rs
@@ -150,7 +150,7 @@
 
 /// New work must not go to an upstream that is closed to it.
 pub fn may_take_new_work(seat: &Seat, on_probation: bool) -> bool {
-    let open = seat.alive && !seat.leaving && !seat.drained && seat.spec.is_some();
+    let open = seat.alive && !seat.leaving && !seat.drained && !seat.suspect && seat.spec.is_some();
     open && (!seat.aside || on_probation)
 }
 
--- a/crates/hg_replica/src/lib.rs
+++ b/crates/hg_replica/src/lib.rs
@@ -10,8 +10,11 @@
 //! * [`Configuration`] says who votes. A host that lost its disk comes back as a new [`ReplicaId`].
 
 mod configuration;
+mod election;
 mod entry;
+mod following;
 mod leader;
+mod leading;
 mod log;
 mod message;
 mod output;
