--- a/crates/hg_replica/tests/agreement_fuzz.rs
+++ b/crates/hg_replica/tests/agreement_fuzz.rs
@@ -17,9 +17,17 @@
 
 /// Runs one world to the end of its choices, then heals it.
 fn run(replicas: usize, seed: u64) -> Done {
+    run_world(World::new(replicas), seed)
+}
+
+/// The same with a network that delivers most messages in order.
+fn run_prompt(replicas: usize, seed: u64) -> Done {
+    run_world(World::new(replicas).with_prompt_network(), seed)
+}
+
+fn run_world(mut world: World, seed: u64) -> Done {
     let choices = choices(seed);
     let mut u = Unstructured::new(&choices);
-    let mut world = World::new(replicas);
     while !u.is_empty() {
         world.step(&mut u).expect("the choices are enough for a step");
     }
@@ -35,7 +43,7 @@
     bytes
 }
 
-fn run_seeds(replicas: usize) {
+fn run_seeds(replicas: usize, run: fn(usize, u64) -> Done) {
     if let Ok(seed) = std::env::var("HG_FUZZ_SEED") {
         run(replicas, seed.parse().expect("HG_FUZZ_SEED is a number"));
         return;
@@ -72,12 +80,22 @@
 
 #[test]
 fn agreement_three_replicas() {
-    run_seeds(3);
+    run_seeds(3, run);
 }
 
 #[test]
 fn agreement_five_replicas() {
-    run_seeds(5);
+    run_seeds(5, run);
+}
+
+#[test]
+fn agreement_three_replicas_prompt() {
+    run_seeds(3, run_prompt);
+}
+
+#[test]
+fn agreement_five_replicas_prompt() {
+    run_seeds(5, run_prompt);
 }
 
 /// Two replicas whose generators had equal seeds split every vote.
--- a/crates/hg_replica/tests/support/world.rs
+++ b/crates/hg_replica/tests/support/world.rs
@@ -54,6 +54,8 @@
     /// Hosts whose new incarnation has no vote yet.
     repairing: BTreeSet<usize>,
     oracle: Oracle,
+    /// Whether most messages come in order, so that leaders hold longer.
+    is_prompt: bool,
     /// Steps taken, for the steps a second.
     pub steps: u64,
 }
@@ -90,6 +92,7 @@
             next_incarnation: 2,
             repairing: BTreeSet::new(),
             oracle: Oracle::default(),
+            is_prompt: false,
             steps: 0,
         };
         for n in 0..count {
@@ -106,6 +109,12 @@
         world
     }
 
+    /// The same, with a network that delivers most messages in order.
+    pub const fn with_prompt_network(mut self) -> Self {
+        self.is_prompt = true;
+        self
+    }
+
     /// What was done so far.
     pub fn done(&self) -> Done {
         let (leaders, acknowledged) = self.oracle.counts();
@@ -349,6 +358,9 @@
         if self.messages.is_empty() {
             return Ok(());
         }
+        if self.is_prompt {
+            return self.deliver_promptly(u);
+        }
         // Any message may come next, and some come twice.
         let index = u.choose_index(self.messages.len())?;
         let message = if u.ratio(1, 12)? {
@@ -360,6 +372,24 @@
         Ok(())
     }
 
+    /// Most messages come in order and at once; some late, some twice.
+    fn deliver_promptly(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        for _ in 0..u.int_in_range(1..=6_u8)? {
+            if self.messages.is_empty() {
+                break;
+            }
+            let late = u.ratio(1, 8)?;
+            let index = if late { u.choose_index(self.messages.len())? } else { 0 };
+            let message = if u.ratio(1, 24)? {
+                self.messages[index].clone()
+            } else {
+                self.messages.remove(index)
+            };
+            self.hand_in(message);
+        }
+        Ok(())
+    }
+
     /// Delivers what is on the way; the answers to that arrive later.
     fn deliver_all(&mut self) {
         for message in std::mem::take(&mut self.messages) {
