--- a/crates/hg_entry/src/api/callers.rs
+++ b/crates/hg_entry/src/api/callers.rs
@@ -158,23 +158,17 @@
     // The body must be here before control hears of the job, since the order to run may come at once.
     let is_new = entry.jobs.hold_body(&id, content).map_err(|e| overloaded(&e.to_string()))?;
     let home = entry.name.clone();
-    match ask(entry, Request::Submit { spec, home }).await? {
-        Reply::Job(view) => {
-            if view.home.as_ref() != Some(&entry.name) && is_new {
-                entry.jobs.drop_job(&id);
-            }
-            wait_for(entry, *view, wait).await
-        }
-        Reply::Refused(refused) => {
-            if is_new {
-                entry.jobs.drop_job(&id);
-            }
-            Ok(refused_response(id, &refused))
-        }
+    let reply = ask(entry, Request::Submit { spec, home }).await?;
+    let is_home = matches!(&reply, Reply::Job(view) if view.home.as_ref() == Some(&entry.name));
+    let is_known = matches!(reply, Reply::Job(_) | Reply::Refused(_) | Reply::Mismatch);
+    if is_new && is_known && !is_home {
+        // The body is of no use here.
+        entry.jobs.drop_job(&id);
+    }
+    match reply {
+        Reply::Job(view) => wait_for(entry, *view, wait).await,
+        Reply::Refused(refused) => Ok(refused_response(id, &refused)),
         Reply::Mismatch => {
-            if is_new {
-                entry.jobs.drop_job(&id);
-            }
             Err(ApiError::new(ErrorCode::IdTaken, format!("id {id} belongs to another job")))
         }
         other => Err(unexpected(&other)),
