Process tests take ports that outgoing connections never get

Cause: entry_and_leader_end_gracefully failed once beside load. Its log shows 'pages: Address already in use': the port was chosen, released, and given to an outgoing connection before the process bound it. Ruled out: the graceful end itself (the leader had handed over and every caller was answered). Conclusion: ports now come from below the range of outgoing connections; the test prints the log of a process that ends badly.

--- a/crates/hg_e2e/src/deployment.rs
+++ b/crates/hg_e2e/src/deployment.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use eyre::{WrapErr as _, ensure, eyre};
@@ -80,8 +81,8 @@
             bin.join("heathergrade-control").exists(),
             "build the binaries first: cargo build --workspace --bins"
         );
-        let links = free_udp(HOSTS)?;
-        let mut tcp = free_tcp(HOSTS * 2)?;
+        let links = free_ports(HOSTS, UdpSocket::bind);
+        let mut tcp = free_ports(HOSTS * 2, TcpListener::bind);
         let entries = tcp.split_off(HOSTS);
         let deployment = Self { dir, bin, links, pages: tcp, entries, children: BTreeMap::new() };
         deployment.write_files()?;
@@ -328,14 +329,22 @@
     })
 }
 
-fn free_tcp(count: usize) -> eyre::Result<Vec<SocketAddr>> {
-    let sockets: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-    Ok(sockets.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?)
+/// The first port that tests take, below those that the system gives to outgoing connections: one of
+/// those may take a port between its choice here and the start of the process that is to listen there.
+const FIRST_PORT: u16 = 11_000;
+/// How many ports there are up to where outgoing connections begin.
+const PORTS: u16 = 20_000;
+
+/// Where the next search begins; test processes that run side by side begin at different places.
+fn next_port() -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    const STRIDE: u32 = 97;
+    let start = std::process::id().wrapping_mul(STRIDE);
+    let at = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % u32::from(PORTS);
+    FIRST_PORT + u16::try_from(at).expect("a remainder of a 16-bit number")
 }
 
-fn free_udp(count: usize) -> eyre::Result<Vec<SocketAddr>> {
-    let sockets: Vec<UdpSocket> =
-        (0..count).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-    Ok(sockets.iter().map(UdpSocket::local_addr).collect::<Result<_, _>>()?)
+fn free_ports<S>(count: usize, bind: impl Fn(SocketAddr) -> std::io::Result<S>) -> Vec<SocketAddr> {
+    let address = || SocketAddr::from(([127, 0, 0, 1], next_port()));
+    std::iter::repeat_with(address).filter(|a| bind(*a).is_ok()).take(count).collect()
 }
--- a/crates/hg_e2e/tests/entry_killed.rs
+++ b/crates/hg_e2e/tests/entry_killed.rs
@@ -74,8 +74,10 @@
         let refused = reply.body["code"] == "stopping";
         assert!(refused || reply.body["kind"] == "answered", "{reply:?}");
     }
-    assert!(deployment.ended("e0").await?.success());
-    assert!(deployment.ended(&format!("c{leader}")).await?.success());
+    for name in ["e0".to_owned(), format!("c{leader}")] {
+        let status = deployment.ended(&name).await?;
+        assert!(status.success(), "{name}: {status}\n{}", deployment.logged(&name)?);
+    }
     for n in 0..12 {
         assert!(deployment.witness().starts(&format!("g{n}")) <= 1);
     }
