--- a/crates/hg_control/src/core.rs
+++ b/crates/hg_control/src/core.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use hg_ledger::{Command, Ledger, Outcome};
+use hg_ledger::{Applied, Command, Effect, Ledger, Outcome};
 use hg_link::{Directive, Reply, Request, decode, encode};
 use hg_model::{EntryName, JobId, Time};
 use hg_policy::{PolicyConfig, Scheduler};
@@ -16,6 +16,7 @@
 use slog::{Logger, crit, warn};
 
 use crate::entries::Entries;
+use crate::workflow::{Order, OrderReport, WorkflowLead, WorkflowReplyKind};
 
 /// Names a request that waits for its reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -38,6 +39,8 @@
         /// What is asked.
         req: Request,
     },
+    /// An order to an upstream has come to something.
+    Report(OrderReport),
     /// This process is to leave the lead, because it shuts down.
     HandOver,
 }
@@ -49,6 +52,8 @@
     pub messages: Vec<(SocketAddr, Message)>,
     /// To entries; only valid while the lease holds.
     pub directives: Vec<(EntryName, Directive)>,
+    /// To upstreams; only valid while the lease holds.
+    pub orders: Vec<Order>,
     /// To whoever asked.
     pub replies: Vec<(Ticket, Reply)>,
 }
@@ -62,6 +67,22 @@
     pub limits: ControlLimits,
     /// The policy's settings.
     pub policy: PolicyConfig,
+    /// What holds for workflows.
+    pub workflows: WorkflowConfig,
+}
+
+/// What holds for workflows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkflowConfig {
+    /// Longest lease that an upstream grants, in milliseconds of its own clock.
+    pub lease_max_ms: u64,
+}
+
+impl Default for WorkflowConfig {
+    fn default() -> Self {
+        // Outlasts an election with a slow disk several times, so that no work is lost by one.
+        Self { lease_max_ms: 10_000 }
+    }
 }
 
 /// What a proposal is for.
@@ -71,6 +92,8 @@
     Asked { ticket: Ticket, reply: ReplyKind },
     /// The scheduler decided it.
     Decided,
+    /// The scheduler of workflows decided it.
+    WorkflowDecided,
     /// Housekeeping.
     Kept,
 }
@@ -86,6 +109,8 @@
     Lists,
     /// Just that it was done.
     Done,
+    /// What a request about workflows came to.
+    Workflow(WorkflowReplyKind),
 }
 
 /// A control process without its I/O.
@@ -98,6 +123,8 @@
     pub(crate) scheduler: Scheduler,
     pub(crate) entries: Entries,
     pub(crate) leading: Option<Leading>,
+    /// Set while this replica leads.
+    pub(crate) workflows: Option<WorkflowLead>,
     pending: BTreeMap<Index, (Command, Purpose)>,
     pub(crate) actions: Actions,
     proposed: bool,
@@ -180,6 +207,7 @@
             ledger: Ledger::new(),
             entries: Entries::default(),
             leading: None,
+            workflows: None,
             pending: BTreeMap::new(),
             actions: Actions::default(),
             proposed: false,
@@ -210,6 +238,7 @@
                     self.replica.step(now, message);
                 }
                 Event::Request { ticket, req } => self.on_request(now, ticket, req),
+                Event::Report(report) => self.on_order_report(now, report),
                 Event::HandOver => self.replica.hand_over(now),
             }
         }
@@ -290,8 +319,10 @@
     }
 
     fn turn_away(&mut self, purpose: &Purpose, reply: Reply) {
-        if let Purpose::Asked { ticket, .. } = purpose {
-            self.actions.replies.push((*ticket, reply));
+        match purpose {
+            Purpose::Asked { ticket, .. } => self.actions.replies.push((*ticket, reply)),
+            Purpose::WorkflowDecided => self.settle_workflow_decision(),
+            Purpose::Decided | Purpose::Kept => {}
         }
     }
 
@@ -304,10 +335,11 @@
     }
 
     /// Tells everyone who waits that this replica no longer leads.
+    ///
+    /// What they asked for is in the log here and may be committed yet.
     pub(crate) fn drop_pending(&mut self) {
-        let reply = self.not_leader();
         for (_, (_, purpose)) in std::mem::take(&mut self.pending) {
-            self.turn_away(&purpose, reply.clone());
+            self.turn_away(&purpose, Reply::Unsure);
         }
     }
 
@@ -332,11 +364,7 @@
         let applied = self.ledger.apply(command.clone());
         self.log_command(&command, &applied.outcome);
         if self.leading.is_some() {
-            for effect in &applied.effects {
-                self.scheduler.follow(now, &self.ledger, effect);
-                self.direct(effect);
-            }
-            self.scheduler.retract(now, &self.ledger, &command, &applied.outcome);
+            self.follow(now, &command, &applied);
         }
         match mine {
             // What stands at this position may be another leader's.
@@ -351,6 +379,22 @@
         }
     }
 
+    /// Keeps what a leader derives from the ledger up to date.
+    fn follow(&mut self, now: Time, command: &Command, applied: &Applied) {
+        if let Command::Workflow(command) = command {
+            self.follow_workflow_command(now, command);
+        }
+        for effect in &applied.effects {
+            if let Effect::Workflow(effect) = effect {
+                self.follow_workflow(now, effect);
+                continue;
+            }
+            self.scheduler.follow(now, &self.ledger, effect);
+            self.direct(effect);
+        }
+        self.scheduler.retract(now, &self.ledger, command, &applied.outcome);
+    }
+
     fn settle(&mut self, purpose: Purpose, outcome: &Outcome) {
         match purpose {
             Purpose::Asked { ticket, reply } => {
@@ -362,6 +406,7 @@
                     leading.undecided = leading.undecided.saturating_sub(1);
                 }
             }
+            Purpose::WorkflowDecided => self.settle_workflow_decision(),
             Purpose::Kept => {}
         }
     }
@@ -375,6 +420,7 @@
             (ReplyKind::Lists, Outcome::Lists(version)) => Reply::Accepted(*version),
             (ReplyKind::Lists, Outcome::Conflict(conflict)) => Reply::Conflict(conflict.clone()),
             (ReplyKind::Lists | ReplyKind::Done, _) => Reply::Done,
+            (ReplyKind::Workflow(kind), _) => Reply::Workflow(self.workflow_reply(&kind)),
         }
     }
 }
--- a/crates/hg_control/src/drive.rs
+++ b/crates/hg_control/src/drive.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 
 use crate::links::{Outbox, PeerFrame};
-use crate::{Actions, Clock, Core, Event, Ticket};
+use crate::{Actions, Clock, Core, Event, OrderReport, Ticket};
 
 /// How long the core sleeps at most.
 const TICK: Duration = Duration::from_millis(20);
@@ -31,6 +31,8 @@
     Messages(PeerFrame),
     /// A request and where its reply goes.
     Request(Request, oneshot::Sender<Reply>),
+    /// What came of an order to an upstream.
+    Report(OrderReport),
     /// Leave the lead.
     HandOver,
     /// End.
@@ -39,7 +41,7 @@
 
 /// The way to the core.
 #[derive(Debug, Clone)]
-pub(crate) struct Driver {
+pub struct Driver {
     tx: SyncSender<Input>,
 }
 
@@ -53,7 +55,7 @@
     }
 
     /// Asks the core and waits for its reply.
-    pub(crate) async fn ask(&self, req: Request) -> Reply {
+    pub async fn ask(&self, req: Request) -> Reply {
         let (tx, rx) = oneshot::channel();
         if !self.put(Input::Request(req, tx)) {
             return Reply::Busy;
@@ -75,6 +77,7 @@
         core,
         clock,
         outbox,
+        driver: Driver { tx: tx.clone() },
         tickets: BTreeMap::new(),
         next: 0,
         gauges_at: None,
@@ -94,6 +97,8 @@
     core: Core<D>,
     clock: Clock,
     outbox: Outbox,
+    /// The way back to this thread, for what comes of orders.
+    driver: Driver,
     tickets: BTreeMap<Ticket, oneshot::Sender<Reply>>,
     next: u64,
     gauges_at: Option<Instant>,
@@ -140,6 +145,7 @@
                 self.tickets.insert(ticket, tx);
                 events.push(Event::Request { ticket, req });
             }
+            Input::Report(report) => events.push(Event::Report(report)),
             Input::HandOver => events.push(Event::HandOver),
             Input::Stop => {}
         }
@@ -150,6 +156,9 @@
         // The process may have stood still since the decision; ask the clock again.
         if self.core.may_decide(self.clock.now()) {
             self.outbox.send_directives(actions.directives);
+            self.outbox.send_orders(actions.orders, &self.driver);
+        } else {
+            self.outbox.take_back(actions.orders, &self.driver);
         }
         for (ticket, reply) in actions.replies {
             if let Some(tx) = self.tickets.remove(&ticket) {
--- a/crates/hg_control/src/found.rs
+++ b/crates/hg_control/src/found.rs
@@ -94,11 +94,20 @@
             return Err(FoundError::Exists { peer });
         }
     }
-    let id = ReplicaId { host: host.clone(), incarnation: FOUNDING_INCARNATION };
-    let created = Storage::create(disk, id, founding_snapshot(founders));
+    let created = create_founder(disk, host, founders);
     created.map(drop).map_err(|source| FoundError::Storage { source })
 }
 
+/// Writes the founding state; every founder writes the same one.
+pub(crate) fn create_founder<D: Disk>(
+    disk: D,
+    host: &HostName,
+    founders: &[Founder],
+) -> Result<Storage<D>, StorageError> {
+    let id = ReplicaId { host: host.clone(), incarnation: FOUNDING_INCARNATION };
+    Storage::create(disk, id, founding_snapshot(founders))
+}
+
 fn founding_snapshot(founders: &[Founder]) -> Snapshot {
     let peer = |founder: &Founder| {
         let id = ReplicaId { host: founder.host.clone(), incarnation: FOUNDING_INCARNATION };
--- a/crates/hg_control/src/http.rs
+++ b/crates/hg_control/src/http.rs
@@ -1,12 +1,13 @@
 //! Metrics and health.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use hg_link::{Reply, Request};
 use metrics_exporter_prometheus::PrometheusHandle;
 use poem::http::StatusCode;
-use poem::listener::TcpListener;
+use poem::listener::{Listener as _, TcpAcceptor, TcpListener};
 use poem::web::Data;
 use poem::{EndpointExt as _, Route, Server, get, handler};
 use tokio::sync::watch;
@@ -36,9 +37,17 @@
     }
 }
 
+/// A page server whose address is bound.
+pub(crate) type Pages = Server<Infallible, TcpAcceptor>;
+
+/// Binds the address, so that one that is in use is noticed at the start.
+pub(crate) async fn bind(address: SocketAddr) -> std::io::Result<Pages> {
+    Ok(Server::new_with_acceptor(TcpListener::bind(address).into_acceptor().await?))
+}
+
 /// Serves until told to stop.
 pub(crate) async fn serve(
-    address: SocketAddr,
+    server: Pages,
     driver: Driver,
     prometheus: PrometheusHandle,
     mut stop: watch::Receiver<bool>,
@@ -53,6 +62,5 @@
         // The sender only goes away when the process ends.
         drop(stop.wait_for(|stop| *stop).await);
     };
-    let server = Server::new(TcpListener::bind(address));
     server.run_with_graceful_shutdown(app, stopped, Some(DRAIN_LIMIT)).await
 }
--- a/crates/hg_control/src/leading.rs
+++ b/crates/hg_control/src/leading.rs
@@ -36,6 +36,7 @@
         if self.leading.is_none() {
             self.start_leading(now);
         }
+        self.lead_workflows(now);
         self.expire_entries(now);
         if !self.begin_placing(now) {
             return;
@@ -53,6 +54,7 @@
         for name in silent {
             self.scheduler.lose(now, &name);
         }
+        self.workflows = Some(self.start_workflow_lead(now, self.replica.term()));
         self.leading = Some(Leading {
             since: now,
             settled: false,
@@ -68,6 +70,7 @@
         info!(self.log, "control: no longer leads"; "event" => "lead.end",
             "term" => self.replica.term().0);
         self.leading = None;
+        self.workflows = None;
         self.drop_pending();
     }
 
@@ -327,6 +330,7 @@
                 info!(self.log, "control: lists put"; "event" => "lists.put", "op" => %op,
                     "expect" => expect.0, "lists" => lists, "outcome" => ?outcome);
             }
+            Command::Workflow(command) => self.log_workflow_command(command),
             other => {
                 info!(self.log, "control: applied"; "event" => "command.applied",
                     "command" => ?other, "lists" => lists, "outcome" => ?outcome);
--- a/crates/hg_control/src/lib.rs
+++ b/crates/hg_control/src/lib.rs
@@ -3,7 +3,8 @@
 //! * [`Core`] ties the replica, the ledger and the scheduler together. It does no I/O but for its
 //!   [`Disk`](hg_replica::Disk): events go in, [`Actions`] come out.
 //! * [`FileDisk`] keeps the log in one file.
-//! * [`run`] wires the core to links, signals and the metrics page.
+//! * [`UpstreamDriver`] carries orders about workflows to upstreams, whatever protocol they speak.
+//! * [`ControlProcess`] is a running process; [`run`] wires the core to links, signals and the metrics page.
 
 mod clock;
 mod core;
@@ -17,9 +18,14 @@
 mod requests;
 mod run;
 mod views;
+mod workflow;
 
 pub use clock::Clock;
-pub use core::{Actions, Core, CoreConfig, Event, Ticket};
+pub use core::{Actions, Core, CoreConfig, Event, Ticket, WorkflowConfig};
+pub use drive::Driver;
 pub use file_disk::FileDisk;
 pub use found::{FoundError, Founder, found};
-pub use run::{run, run_found};
+pub use run::{ControlParts, ControlProcess, run, run_found};
+pub use workflow::{
+    Order, OrderId, OrderKind, OrderReport, OrderResult, StartRefusal, UpstreamDriver,
+};
--- a/crates/hg_control/src/links.rs
+++ b/crates/hg_control/src/links.rs
@@ -16,6 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::drive::{Driver, Input};
+use crate::workflow::{Order, OrderReport, OrderResult, UpstreamDriver};
 
 /// Most batches that wait for one replica; more are dropped, since the agreement repairs losses.
 const PEER_QUEUE_MAX: usize = 256;
@@ -30,6 +31,9 @@
 /// How often a replica without a place asks for one.
 const JOIN_EVERY: Duration = Duration::from_millis(500);
 
+/// Most hosts that are asked for a place.
+const PEERS_MAX: usize = 32;
+
 /// Messages from one replica to another, with where the sender listens.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct PeerFrame {
@@ -50,6 +54,7 @@
     log: Logger,
     peers: Mutex<BTreeMap<SocketAddr, Sender<Vec<Message>>>>,
     entries: Mutex<BTreeMap<EntryName, Sender<Directive>>>,
+    upstreams: Option<Arc<dyn UpstreamDriver>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -57,9 +62,32 @@
 }
 
 impl Outbox {
-    pub(crate) fn new(endpoint: LinkEndpoint, runtime: Handle, log: Logger) -> Self {
+    pub(crate) fn new(
+        endpoint: LinkEndpoint,
+        runtime: Handle,
+        upstreams: Option<Arc<dyn UpstreamDriver>>,
+        log: Logger,
+    ) -> Self {
         let (peers, entries) = (Mutex::default(), Mutex::default());
-        Self { shared: Arc::new(Shared { endpoint, runtime, log, peers, entries }) }
+        Self { shared: Arc::new(Shared { endpoint, runtime, log, peers, entries, upstreams }) }
+    }
+
+    /// Sends orders to upstreams; what comes of each goes back to the core.
+    pub(crate) fn send_orders(&self, orders: Vec<Order>, driver: &Driver) {
+        let Some(upstreams) = &self.shared.upstreams else { return };
+        for order in orders {
+            let (upstreams, driver) = (Arc::clone(upstreams), driver.clone());
+            let log = self.shared.log.clone();
+            self.shared.runtime.spawn(carry_out(upstreams, order, driver, log));
+        }
+    }
+
+    /// Reports orders that were not sent because the lease ended meanwhile.
+    pub(crate) fn take_back(&self, orders: Vec<Order>, driver: &Driver) {
+        for order in orders {
+            let (id, upstream, result) = (order.id, order.upstream, OrderResult::Fenced);
+            report(driver, &self.shared.log, OrderReport { id, upstream, result });
+        }
     }
 
     /// Sends messages to replicas; what finds no room is dropped.
@@ -99,6 +127,23 @@
     }
 }
 
+async fn carry_out(upstreams: Arc<dyn UpstreamDriver>, order: Order, driver: Driver, log: Logger) {
+    let (id, upstream, limit) = (order.id, order.upstream.clone(), order.limit);
+    let result = match timeout(limit, upstreams.carry_out(order)).await {
+        Ok(result) => result,
+        Err(_) => OrderResult::Unanswered(format!("no answer within {limit:?}")),
+    };
+    report(&driver, &log, OrderReport { id, upstream, result });
+}
+
+fn report(driver: &Driver, log: &Logger, report: OrderReport) {
+    let order = report.id.0;
+    if !driver.put(Input::Report(report)) {
+        warn!(log, "control: report dropped, the core is overloaded"; "event" => "report.dropped",
+            "order" => order);
+    }
+}
+
 /// Keeps a link to one replica and sends what comes.
 async fn send_to_peer(shared: Arc<Shared>, address: SocketAddr, mut rx: Receiver<Vec<Message>>) {
     let mut link: Option<Link> = None;
@@ -242,18 +287,20 @@
     pub(crate) needs_place: Arc<AtomicBool>,
 }
 
-/// Asks every control host for a place, again and again while this replica needs one.
+/// Asks control hosts for a place, again and again while this replica needs one.
+///
+/// The hosts it was told of may be gone, so it also asks whomever they take for the leader.
 pub(crate) async fn ask_for_place(endpoint: LinkEndpoint, asking: Asking, log: Logger) {
-    let Asking { id, address, peers, needs_place } = asking;
+    let Asking { id, address, mut peers, needs_place } = asking;
     loop {
         sleep(JOIN_EVERY).await;
         if !needs_place.load(Ordering::Relaxed) {
             continue;
         }
-        for peer in peers.iter().filter(|peer| **peer != address) {
+        for peer in peers.clone().into_iter().filter(|peer| *peer != address) {
             let req = Request::Join { id: id.clone(), address };
             let asked = async {
-                let link = endpoint.connect(*peer).await?;
+                let link = endpoint.connect(peer).await?;
                 let reply = link.request::<_, Reply>(&req, CONNECT_LIMIT).await;
                 link.close();
                 reply
@@ -261,6 +308,12 @@
             let reply = timeout(CONNECT_LIMIT * 2, asked).await;
             debug!(log, "control: asked for a place"; "event" => "join.ask", "peer" => %peer,
                 "reply" => ?reply);
+            if let Ok(Ok(Reply::NotLeader { address: Some(leader), .. })) = reply
+                && !peers.contains(&leader)
+                && peers.len() < PEERS_MAX
+            {
+                peers.push(leader);
+            }
         }
     }
 }
--- a/crates/hg_control/src/requests.rs
+++ b/crates/hg_control/src/requests.rs
@@ -61,6 +61,7 @@
             Request::Upstreams => Some(Reply::Upstreams(self.upstream_views())),
             Request::Drain { upstream, drained } => self.on_drain(now, ticket, upstream, drained),
             Request::Status => Some(Reply::Status(Box::new(self.cluster_view()))),
+            Request::Workflow(req) => self.answer_workflow(now, ticket, req),
         }
     }
 
--- /dev/null
+++ b/crates/hg_control/src/workflow/lead.rs
@@ -0,0 +1,222 @@
+//! The leader's rounds over workflows.
+
+use std::time::Duration;
+
+use hg_ledger::{Command, WorkflowCommand, WorkflowEffect};
+use hg_model::{Term, Time};
+use hg_policy::WorkflowScheduler;
+use hg_replica::Disk;
+use slog::{info, warn};
+
+use super::OrderReport;
+use super::sessions::{Sessions, Work};
+use crate::Core;
+use crate::core::Purpose;
+
+/// How often decisions are taken although nothing changed: due times come and patience ends.
+const DECIDE_EVERY: Duration = Duration::from_millis(100);
+/// How often ended workflows are forgotten.
+const FORGET_EVERY: Duration = Duration::from_secs(10);
+/// How long ended workflows are remembered at least.
+const REMEMBER_MS: u64 = 30 * 60 * 1_000;
+
+/// What a leader keeps about workflows besides the replicated state.
+#[derive(Debug)]
+pub(crate) struct WorkflowLead {
+    pub(crate) sessions: Sessions,
+    pub(crate) scheduler: WorkflowScheduler,
+    /// Starts that are proposed and not applied yet.
+    undecided: usize,
+    /// Whether something changed since the last round.
+    changed: bool,
+    decided_at: Time,
+    forgot_at: Time,
+}
+
+impl WorkflowLead {
+    pub(crate) fn new(now: Time, sessions: Sessions) -> Self {
+        Self {
+            sessions,
+            scheduler: WorkflowScheduler::new(),
+            undecided: 0,
+            changed: true,
+            decided_at: Time(0),
+            forgot_at: now,
+        }
+    }
+}
+
+impl<D: Disk> Core<D> {
+    pub(crate) fn start_workflow_lead(&self, now: Time, term: Term) -> WorkflowLead {
+        let lease_max_ms = self.cfg.workflows.lease_max_ms;
+        WorkflowLead::new(now, Sessions::new(now, term, lease_max_ms, self.ledger.workflows()))
+    }
+
+    /// One round: what is due goes out, then new decisions are taken.
+    pub(crate) fn lead_workflows(&mut self, now: Time) {
+        let Some(lead) = self.workflows.as_mut() else { return };
+        let mut work = Work::default();
+        lead.sessions.advance(now, self.ledger.workflows(), &mut work);
+        self.carry_out_work(now, work);
+        self.decide_workflows(now);
+        self.forget_workflows(now);
+    }
+
+    /// Takes in what came of an order.
+    pub(crate) fn on_order_report(&mut self, now: Time, report: OrderReport) {
+        self.log_order_report(&report);
+        let Some(lead) = self.workflows.as_mut() else { return };
+        let mut work = Work::default();
+        lead.sessions.on_report(now, report, &mut work);
+        lead.changed = true;
+        self.carry_out_work(now, work);
+    }
+
+    pub(crate) fn carry_out_work(&mut self, now: Time, work: Work) {
+        self.actions.orders.extend(work.orders);
+        for command in work.commands {
+            self.propose(now, Command::Workflow(command), Purpose::Kept);
+        }
+    }
+
+    fn decide_workflows(&mut self, now: Time) {
+        let Some(lead) = self.workflows.as_mut() else { return };
+        let due = lead.changed || now >= lead.decided_at.after(DECIDE_EVERY);
+        if !due || lead.undecided > 0 {
+            return;
+        }
+        lead.changed = false;
+        lead.decided_at = now;
+        let ledger = self.ledger.workflows();
+        let mut fleet = lead.sessions.fleet(now);
+        let aside = ledger.upstreams().keys().filter(|name| lead.scheduler.is_aside(now, name));
+        fleet.shunned.extend(aside.cloned());
+        let decisions = lead.scheduler.decide(now, ledger, &fleet);
+        for run in &decisions.stops {
+            info!(self.log, "workflow: stops run"; "event" => "run.stop", "task" => %run.task,
+                "run" => run.run.0, "upstream" => %run.upstream);
+            lead.sessions.stop_run(run);
+        }
+        if !decisions.starts.is_empty() {
+            lead.undecided += 1;
+            let command = WorkflowCommand::Start { starts: decisions.starts, at: now };
+            self.propose(now, Command::Workflow(command), Purpose::WorkflowDecided);
+        }
+    }
+
+    /// The starts that were proposed have been applied, or never will be.
+    pub(crate) fn settle_workflow_decision(&mut self) {
+        if let Some(lead) = self.workflows.as_mut() {
+            lead.undecided = lead.undecided.saturating_sub(1);
+            lead.changed = true;
+        }
+    }
+
+    fn forget_workflows(&mut self, now: Time) {
+        let Some(lead) = self.workflows.as_mut() else { return };
+        if now < lead.forgot_at.after(FORGET_EVERY) {
+            return;
+        }
+        lead.forgot_at = now;
+        let before = Time(now.0.saturating_sub(REMEMBER_MS));
+        if self.ledger.workflows().oldest_end().is_some_and(|at| at < before) {
+            let command = Command::Workflow(WorkflowCommand::Forget { before });
+            self.propose(now, command, Purpose::Kept);
+        }
+    }
+
+    /// Follows a change of the record.
+    pub(crate) fn follow_workflow(&mut self, now: Time, effect: &WorkflowEffect) {
+        let Some(lead) = self.workflows.as_mut() else { return };
+        let ledger = self.ledger.workflows();
+        lead.changed = true;
+        match effect {
+            WorkflowEffect::Opened(run) => lead.sessions.open_run(run),
+            WorkflowEffect::Closed(run) => {
+                lead.sessions.close_run(run);
+                lead.scheduler.note_closed(run);
+            }
+            WorkflowEffect::Registered(name) => {
+                if let Some(report) = ledger.upstreams().get(name) {
+                    lead.sessions.open(now, report, ledger);
+                }
+            }
+            WorkflowEffect::Deregistered(name) => lead.sessions.close(name),
+            WorkflowEffect::Ended(job) => {
+                info!(self.log, "workflow: ended"; "event" => "workflow.ended", "job" => %job,
+                    "state" => ledger.state(job).map(|state| state.to_string()));
+            }
+            WorkflowEffect::Ending(_) | WorkflowEffect::Accepted(_) | WorkflowEffect::Catalog => {}
+        }
+    }
+
+    /// Follows a command that was applied, beyond its effects.
+    pub(crate) fn follow_workflow_command(&mut self, now: Time, command: &WorkflowCommand) {
+        let Some(lead) = self.workflows.as_mut() else { return };
+        if let WorkflowCommand::Ends { upstream, incarnation, ends, .. } = command {
+            for end in ends {
+                lead.scheduler.note_end(now, upstream, &end.task.step.job, end.kind);
+            }
+            let upto = ends.last().map_or(0, |end| end.number);
+            lead.sessions.note_ends(now, upstream, *incarnation, upto);
+        }
+    }
+
+    fn log_order_report(&self, report: &OrderReport) {
+        use super::OrderResult::{Fenced, NotStarted, OtherIncarnation, Unanswered};
+        if let Fenced | NotStarted(_) | OtherIncarnation | Unanswered(_) = &report.result {
+            warn!(self.log, "workflow: order not carried out"; "event" => "order.failed",
+                "order" => report.id.0, "upstream" => %report.upstream,
+                "result" => ?report.result);
+        }
+    }
+
+    /// One line for each command about workflows that took effect.
+    pub(crate) fn log_workflow_command(&self, command: &WorkflowCommand) {
+        match command {
+            WorkflowCommand::PutCatalog(catalog) => {
+                info!(self.log, "workflow: catalog"; "event" => "catalog.put",
+                    "version" => catalog.version, "queues" => catalog.queues.len(),
+                    "in_force" => self.ledger.workflows().catalog().map(|c| c.version));
+            }
+            WorkflowCommand::Accept { id, terms, account, spec, .. } => {
+                info!(self.log, "workflow: accepted"; "event" => "workflow.accepted", "job" => %id,
+                    "queue" => %terms.queue, "priority" => terms.priority,
+                    "account" => account.as_ref().map(ToString::to_string),
+                    "steps" => spec.steps.len(), "chain_ms" => spec.estimated_chain_ms());
+            }
+            WorkflowCommand::Cancel { id, .. } => {
+                info!(self.log, "workflow: cancelled"; "event" => "workflow.cancelled", "job" => %id);
+            }
+            WorkflowCommand::Start { starts, .. } => {
+                for start in starts {
+                    info!(self.log, "workflow: run placed"; "event" => "run.placed",
+                        "task" => %start.task, "run" => start.run.0, "upstream" => %start.upstream);
+                }
+            }
+            WorkflowCommand::Ends { upstream, ends, .. } => {
+                for end in ends {
+                    info!(self.log, "workflow: run ended"; "event" => "run.ended",
+                        "task" => %end.task, "run" => end.run.0, "upstream" => %upstream,
+                        "kind" => ?end.kind);
+                }
+            }
+            WorkflowCommand::Lose { runs, .. } => {
+                for run in runs {
+                    warn!(self.log, "workflow: run lost"; "event" => "run.lost", "task" => %run.task,
+                        "run" => run.run.0, "upstream" => %run.upstream);
+                }
+            }
+            WorkflowCommand::Register(report) => {
+                info!(self.log, "workflow: upstream registered"; "event" => "upstream.registered",
+                    "upstream" => %report.name, "incarnation" => report.incarnation.0,
+                    "rack" => %report.rack, "leaving" => report.leaving);
+            }
+            WorkflowCommand::Deregister { name, incarnation, .. } => {
+                info!(self.log, "workflow: upstream gone"; "event" => "upstream.gone",
+                    "upstream" => %name, "incarnation" => incarnation.0);
+            }
+            WorkflowCommand::Forget { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/hg_control/src/workflow/request.rs
@@ -0,0 +1,244 @@
+//! Requests about workflows.
+
+use std::sync::Arc;
+
+use hg_ledger::{Command, Terms, WorkflowCommand};
+use hg_link::{CallerAsk, CallerCall, Reply, WorkflowReply, WorkflowRequest};
+use hg_model::{
+    Catalog, ClockReading, Incarnation, JobId, QueueSpec, Time, UpstreamName, UpstreamReport,
+    WorkflowSpec, WorkflowState,
+};
+use hg_policy::admit;
+use hg_replica::Disk;
+use slog::info;
+
+use crate::core::{Purpose, ReplyKind};
+use crate::{Core, Ticket};
+
+/// When a caller may come back after its workflow was turned away for want of room in the log's queue.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// How an applied command about workflows becomes a reply.
+#[derive(Debug, Clone)]
+pub(crate) enum WorkflowReplyKind {
+    /// The workflow is stored.
+    Accepted,
+    /// What the workflow has come to after its cancelling.
+    Cancelled(JobId),
+    /// The catalog, or a higher version, is in force.
+    Stored,
+    /// An upstream's word was taken in.
+    Noted,
+}
+
+impl<D: Disk> Core<D> {
+    /// Answers now, or proposes what is asked for and answers when it is in the log.
+    pub(crate) fn answer_workflow(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        req: WorkflowRequest,
+    ) -> Option<Reply> {
+        let reply = match req {
+            WorkflowRequest::Ping => Some(self.ready_reply()),
+            WorkflowRequest::Call(call) => self.on_call(now, ticket, call),
+            WorkflowRequest::PutCatalog(catalog) => self.on_put_catalog(now, ticket, catalog),
+            WorkflowRequest::GetCatalog => Some(self.catalog_reply()),
+            WorkflowRequest::Heartbeat { report, clock } => {
+                self.on_heartbeat(now, ticket, report, clock)
+            }
+            WorkflowRequest::Leave { name, incarnation } => {
+                self.on_leave(now, ticket, name, incarnation)
+            }
+        };
+        reply.map(Reply::Workflow)
+    }
+
+    fn ready_reply(&self) -> WorkflowReply {
+        let catalog = self.ledger.workflows().catalog().map(|catalog| catalog.version);
+        let peers = self.status().configuration.peers;
+        let controls = peers.values().map(|peer| peer.address).collect();
+        WorkflowReply::Ready { catalog, controls }
+    }
+
+    fn catalog_reply(&self) -> WorkflowReply {
+        match self.ledger.workflows().catalog() {
+            Some(catalog) => WorkflowReply::Catalog(Arc::clone(&catalog.document)),
+            None => WorkflowReply::NoCatalog,
+        }
+    }
+
+    fn ask_workflow(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        command: WorkflowCommand,
+        reply: WorkflowReplyKind,
+    ) -> Option<WorkflowReply> {
+        let reply = ReplyKind::Workflow(reply);
+        self.propose(now, Command::Workflow(command), Purpose::Asked { ticket, reply });
+        None
+    }
+
+    fn on_put_catalog(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        catalog: Catalog,
+    ) -> Option<WorkflowReply> {
+        if let Err(fault) = catalog.check() {
+            info!(self.log, "workflow: catalog refused"; "event" => "catalog.refused",
+                "version" => catalog.version, "fault" => %fault);
+            return Some(WorkflowReply::Invalid(fault.to_string()));
+        }
+        let current = self.ledger.workflows().catalog();
+        if current.is_some_and(|current| current.version >= catalog.version) {
+            return Some(WorkflowReply::Stored);
+        }
+        self.ask_workflow(
+            now,
+            ticket,
+            WorkflowCommand::PutCatalog(catalog),
+            WorkflowReplyKind::Stored,
+        )
+    }
+
+    fn on_call(&mut self, now: Time, ticket: Ticket, call: CallerCall) -> Option<WorkflowReply> {
+        let Some(catalog) = self.ledger.workflows().catalog() else {
+            return Some(WorkflowReply::NoCatalog);
+        };
+        let Some(route) = catalog.route(&call.host, &call.path) else {
+            return Some(WorkflowReply::NoQueue);
+        };
+        let account = call.key.as_deref().and_then(|key| catalog.account_of(key));
+        if account.is_none() && !route.queue.open {
+            return Some(WorkflowReply::NoKey);
+        }
+        let account = account.map(|account| account.name.clone());
+        let is_whole_queue = route.rest.is_empty();
+        if is_whole_queue && matches!(call.ask, CallerAsk::State) {
+            let waiting = self.ledger.workflows().waiting_in(&route.queue.name);
+            return Some(WorkflowReply::Waiting(u64::try_from(waiting).unwrap_or(u64::MAX)));
+        }
+        let id = match JobId::new(route.rest) {
+            Ok(id) => id,
+            Err(fault) => return Some(WorkflowReply::Invalid(fault.to_string())),
+        };
+        match call.ask {
+            CallerAsk::Submit(spec) => {
+                let queue = route.queue.clone();
+                self.on_submit_workflow(now, ticket, id, spec, &queue, account)
+            }
+            CallerAsk::State => Some(self.state_reply(&id)),
+            CallerAsk::Cancel => self.on_cancel_workflow(now, ticket, id),
+        }
+    }
+
+    fn state_reply(&self, id: &JobId) -> WorkflowReply {
+        self.ledger.workflows().state(id).map_or(WorkflowReply::Unknown, WorkflowReply::State)
+    }
+
+    fn on_submit_workflow(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        id: JobId,
+        spec: WorkflowSpec,
+        queue: &QueueSpec,
+        account: Option<hg_model::AccountName>,
+    ) -> Option<WorkflowReply> {
+        if self.ledger.workflows().state(&id).is_some() {
+            // The caller sent it again after a lost answer.
+            return Some(WorkflowReply::Accepted);
+        }
+        if let Err(fault) = spec.check() {
+            return Some(WorkflowReply::Invalid(fault.to_string()));
+        }
+        if let Err(rejection) = admit(self.ledger.workflows(), queue, &spec) {
+            info!(self.log, "workflow: rejected"; "event" => "workflow.rejected", "job" => %id,
+                "queue" => %queue.name, "reason" => %rejection,
+                "upstreams" => self.ledger.workflows().upstreams().len());
+            let reason = rejection.to_string();
+            return Some(WorkflowReply::Rejected { reason, retry_after_ms: RETRY_AFTER_MS });
+        }
+        let terms = Terms::of(queue);
+        let command = WorkflowCommand::Accept { id, spec, terms, account, at: now };
+        self.ask_workflow(now, ticket, command, WorkflowReplyKind::Accepted)
+    }
+
+    fn on_cancel_workflow(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        id: JobId,
+    ) -> Option<WorkflowReply> {
+        match self.ledger.workflows().state(&id) {
+            None => Some(WorkflowReply::Unknown),
+            Some(state) if state.is_final() => Some(WorkflowReply::State(state)),
+            Some(_) => {
+                let reply = WorkflowReplyKind::Cancelled(id.clone());
+                self.ask_workflow(now, ticket, WorkflowCommand::Cancel { id, at: now }, reply)
+            }
+        }
+    }
+
+    fn on_heartbeat(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        report: UpstreamReport,
+        clock: Option<ClockReading>,
+    ) -> Option<WorkflowReply> {
+        let (name, incarnation) = (report.name.clone(), report.incarnation);
+        let lead = self.workflows.as_mut()?;
+        if lead.sessions.has_departed(&name, incarnation) {
+            return Some(WorkflowReply::Noted);
+        }
+        lead.sessions.note_heartbeat(now, &name, incarnation, clock);
+        let workflows = self.ledger.workflows();
+        let known = workflows.upstreams().get(&name);
+        if known.is_some_and(|known| *known == report || known.incarnation > incarnation) {
+            return Some(WorkflowReply::Noted);
+        }
+        let others = workflows.upstreams().values();
+        let mut same_address = others.filter(|u| u.address == report.address && u.name != name);
+        if let Some(other) = same_address.next() {
+            if other.incarnation > incarnation {
+                // A word that was held up from a life that is over.
+                return Some(WorkflowReply::Noted);
+            }
+            let (name, incarnation) = (other.name.clone(), other.incarnation);
+            let command = WorkflowCommand::Deregister { name, incarnation, at: now };
+            self.propose(now, Command::Workflow(command), Purpose::Kept);
+        }
+        self.ask_workflow(now, ticket, WorkflowCommand::Register(report), WorkflowReplyKind::Noted)
+    }
+
+    fn on_leave(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        name: UpstreamName,
+        incarnation: Option<Incarnation>,
+    ) -> Option<WorkflowReply> {
+        let known = self.ledger.workflows().upstreams().get(&name);
+        let Some(known) = known.filter(|k| incarnation.is_none_or(|i| i == k.incarnation)) else {
+            return Some(WorkflowReply::Noted);
+        };
+        let incarnation = known.incarnation;
+        let command = WorkflowCommand::Deregister { name, incarnation, at: now };
+        self.ask_workflow(now, ticket, command, WorkflowReplyKind::Noted)
+    }
+
+    pub(crate) fn workflow_reply(&self, kind: &WorkflowReplyKind) -> WorkflowReply {
+        match kind {
+            WorkflowReplyKind::Accepted => WorkflowReply::Accepted,
+            WorkflowReplyKind::Cancelled(id) => {
+                let state = self.ledger.workflows().state(id);
+                WorkflowReply::State(state.unwrap_or(WorkflowState::Cancelled))
+            }
+            WorkflowReplyKind::Stored => WorkflowReply::Stored,
+            WorkflowReplyKind::Noted => WorkflowReply::Noted,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hg_control/src/workflow/session.rs
@@ -0,0 +1,187 @@
+//! What a leader knows of one life of one upstream.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hg_model::{Checkpoint, ClockReading, Incarnation, RunNumber, TaskId, Time};
+
+use super::OrderId;
+
+/// Upstreams' clocks may run slow by this share, in percent.
+const CLOCK_SLOW_PERCENT: u64 = 2;
+/// Added to a lease's end before it counts as over, for the way and for rounding.
+const LEASE_MARGIN: Duration = Duration::from_millis(200);
+
+/// How far a start order has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StartStage {
+    /// No order was sent in this lead.
+    Unsent,
+    /// An order is on its way.
+    Sent(OrderId),
+    /// The upstream has it, or had it.
+    Settled,
+}
+
+/// How far a stop order has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StopStage {
+    /// It may go on.
+    Unwanted,
+    /// A stop is to be sent.
+    Wanted,
+    /// A stop is on its way.
+    Sent(OrderId),
+    /// The upstream has acknowledged it; the run must leave the lists.
+    Settled,
+}
+
+/// One open run at the upstream.
+#[derive(Debug, Clone)]
+pub(super) struct RunSession {
+    pub(super) run: RunNumber,
+    pub(super) start: StartStage,
+    pub(super) stop: StopStage,
+    /// Whether a start order may still be carried out although nobody answered it.
+    pub(super) in_doubt: bool,
+    /// How many start orders had no answer.
+    pub(super) unanswered: u32,
+    /// Whether it is proposed to give the run up.
+    pub(super) losing: bool,
+    /// Orders with a higher id were sent after the last change of its start or stop.
+    pub(super) settled_by: OrderId,
+    pub(super) checkpoint: Option<Checkpoint>,
+}
+
+impl RunSession {
+    /// A run that this lead has just decided.
+    pub(super) const fn new(run: RunNumber) -> Self {
+        Self {
+            run,
+            start: StartStage::Unsent,
+            stop: StopStage::Unwanted,
+            in_doubt: false,
+            unanswered: 0,
+            losing: false,
+            settled_by: OrderId(0),
+            checkpoint: None,
+        }
+    }
+
+    /// A run of an earlier lead, or of an earlier life: it may or may not be there.
+    pub(super) const fn inherited(run: RunNumber) -> Self {
+        let mut session = Self::new(run);
+        session.in_doubt = true;
+        session
+    }
+
+    /// Whether the upstream was told of it, in this lead or perhaps in an earlier one.
+    pub(super) fn may_be_there(&self) -> bool {
+        self.in_doubt || self.start != StartStage::Unsent
+    }
+}
+
+/// One life of one upstream.
+#[derive(Debug)]
+pub(super) struct Session {
+    pub(super) incarnation: Incarnation,
+    pub(super) address: SocketAddr,
+    /// When it last said anything.
+    pub(super) heard: Time,
+    /// Its clock, and when that was read.
+    clock: Option<(ClockReading, Time)>,
+    /// The latest reading of its clock to which any lease may last.
+    lease_until: Option<ClockReading>,
+    /// When all leases of earlier leads are over, by our clock.
+    inherited_until: Time,
+    /// Whether it is to be asked for its lists although nothing is known to run there.
+    pub(super) unseen: bool,
+    pub(super) renewal: Option<OrderId>,
+    pub(super) renew_at: Time,
+    /// Ends up to this number are in the log.
+    pub(super) acknowledged: u64,
+    /// Ends up to this number were acknowledged to it.
+    pub(super) told: u64,
+    /// Whether ends are proposed and not in the log yet.
+    pub(super) noting: bool,
+    /// It gets no new work before then.
+    pub(super) suspect_until: Time,
+    pub(super) runs: BTreeMap<TaskId, RunSession>,
+}
+
+impl Session {
+    /// A life that is followed from `now` on; leases of `lease_max_ms` may have been granted before.
+    pub(super) fn new(
+        now: Time,
+        incarnation: Incarnation,
+        address: SocketAddr,
+        lease_max_ms: u64,
+    ) -> Self {
+        Self {
+            incarnation,
+            address,
+            heard: now,
+            clock: None,
+            lease_until: None,
+            inherited_until: now.after(stretched(lease_max_ms)).after(LEASE_MARGIN),
+            unseen: false,
+            renewal: None,
+            renew_at: now,
+            acknowledged: 0,
+            told: 0,
+            noting: false,
+            suspect_until: Time(0),
+            runs: BTreeMap::new(),
+        }
+    }
+
+    /// Whether its clock is known.
+    pub(super) const fn has_clock(&self) -> bool {
+        self.clock.is_some()
+    }
+
+    /// Takes in a reading of its clock.
+    ///
+    /// Answers may overtake each other, so only a reading that puts the clock further ahead counts.
+    pub(super) fn note_clock(&mut self, now: Time, reading: ClockReading) {
+        self.heard = now;
+        let expected = self.clock_at(now);
+        if expected.is_none_or(|expected| reading >= expected) {
+            self.clock = Some((reading, now));
+        }
+    }
+
+    /// What its clock reads at least.
+    fn clock_at(&self, now: Time) -> Option<ClockReading> {
+        let (reading, at) = self.clock?;
+        let elapsed = u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
+        Some(ClockReading(reading.0 + elapsed * (100 - CLOCK_SLOW_PERCENT) / 100))
+    }
+
+    /// The reading up to which a lease of `ms` from now lasts; it counts as granted from here on.
+    pub(super) fn grant(&mut self, now: Time, ms: u64) -> Option<ClockReading> {
+        let until = ClockReading(self.clock_at(now)?.0 + ms);
+        self.lease_until = self.lease_until.max(Some(until));
+        Some(until)
+    }
+
+    /// Whether every lease that it may hold is surely over.
+    pub(super) fn leases_are_over(&self, now: Time) -> bool {
+        if now < self.inherited_until {
+            return false;
+        }
+        let Some(until) = self.lease_until else { return true };
+        let margin = u64::try_from(LEASE_MARGIN.as_millis()).unwrap_or(u64::MAX);
+        self.clock_at(now).is_some_and(|clock| clock.0 > until.0.saturating_add(margin))
+    }
+
+    /// Whether a listing is needed to learn what became of runs.
+    pub(super) fn needs_listing(&self) -> bool {
+        self.runs.values().any(RunSession::may_be_there)
+    }
+}
+
+fn stretched(ms: u64) -> Duration {
+    Duration::from_millis(ms * 100 / (100 - CLOCK_SLOW_PERCENT) + 1)
+}
--- a/crates/hg_entry/src/entry.rs
+++ b/crates/hg_entry/src/entry.rs
@@ -2,12 +2,13 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use hg_link::ControlClient;
 use hg_model::{EntryName, ListVersion};
 use hg_settings::EntrySettings;
 use slog::Logger;
 use tokio::sync::Semaphore;
 
-use crate::{ControlClient, JobTable, UpstreamClient, UpstreamTable};
+use crate::{JobTable, UpstreamClient, UpstreamTable};
 
 /// An entry process; handed down to every part.
 #[derive(Debug)]
--- a/crates/hg_entry/src/lib.rs
+++ b/crates/hg_entry/src/lib.rs
@@ -1,7 +1,6 @@
 //! The entry process: callers, operators and upstreams connect here.
 //!
 //! * [`api`] serves HTTP. It checks what comes in and shows what control decided.
-//! * [`ControlClient`] finds the control leader and asks it.
 //! * [`JobTable`] holds the bodies and answers of jobs whose home this entry is.
 //! * [`carrier`] carries an attempt out: prepare, commit, start, watch, stop, report.
 //! * [`UpstreamTable`] hears the upstreams; only what changed is reported to the leader.
@@ -9,7 +8,6 @@
 
 pub mod api;
 pub mod carrier;
-mod control_client;
 mod directives;
 mod entry;
 mod job_table;
@@ -20,7 +18,6 @@
 mod upstream_client;
 mod upstream_table;
 
-pub use control_client::{ControlClient, ControlError};
 pub use entry::Entry;
 pub use job_table::{FinalAnswer, JobTable, NoRoom, StopOrder};
 pub use member::{MemberEnd, combine};
--- a/crates/hg_entry/src/run.rs
+++ b/crates/hg_entry/src/run.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use eyre::{WrapErr as _, eyre};
-use hg_link::{KeyFolder, LinkEndpoint};
+use hg_link::{ControlClient, KeyFolder, LinkEndpoint};
 use hg_model::{EntryName, Time};
 use hg_settings::EntrySettings;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
 
-use crate::{ControlClient, Entry, api, directives, report};
+use crate::{Entry, api, directives, report};
 
 /// Most directives that wait to be carried out.
 const DIRECTIVES_MAX: usize = 16_384;
--- a/crates/hg_ledger/src/command.rs
+++ b/crates/hg_ledger/src/command.rs
@@ -7,6 +7,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::WorkflowCommand;
+
 /// One entry of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -120,6 +122,8 @@
         /// The point.
         before: Time,
     },
+    /// Changes the record of workflows.
+    Workflow(WorkflowCommand),
 }
 
 /// Someone else's lists came first.
--- a/crates/hg_ledger/src/effect.rs
+++ b/crates/hg_ledger/src/effect.rs
@@ -2,6 +2,8 @@
 
 use hg_model::{Answer, Attempt, AttemptResult, EntryName, JobId, MarkId, StopCause, UpstreamName};
 
+use crate::WorkflowEffect;
+
 /// One change to the ledger, for those that keep indices over it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
@@ -54,4 +56,6 @@
     Marked(MarkId),
     /// An operator drained or resumed an upstream.
     Drained(UpstreamName),
+    /// The record of workflows changed.
+    Workflow(WorkflowEffect),
 }
--- a/crates/hg_ledger/src/ledger.rs
+++ b/crates/hg_ledger/src/ledger.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Command, ENDED_MAX, Effect, EndedJob, FAILURES_MAX, Job, JobEvent, ListConflict, NOTED_MAX,
-    OPERATIONS_MAX, Outcome, REFUSALS_MAX,
+    OPERATIONS_MAX, Outcome, REFUSALS_MAX, WorkflowLedger,
 };
 
 /// The result of applying one command.
@@ -45,6 +45,7 @@
     ended_order: VecDeque<JobId>,
     marks: BTreeMap<MarkId, UpstreamName>,
     drained: BTreeSet<UpstreamName>,
+    workflows: WorkflowLedger,
 }
 
 /// Queries.
@@ -94,6 +95,11 @@
         &self.drained
     }
 
+    /// The record of workflows.
+    pub const fn workflows(&self) -> &WorkflowLedger {
+        &self.workflows
+    }
+
     /// The job that ended first of those remembered.
     pub fn oldest_end(&self) -> Option<Time> {
         self.ended.get(self.ended_order.front()?).map(|job| job.at)
@@ -125,6 +131,11 @@
             Command::Mark { mark, upstream } => self.mark(mark, upstream),
             Command::Drain { upstream, drained } => self.drain(upstream, drained),
             Command::Forget { before } => self.forget(before),
+            Command::Workflow(command) => {
+                let effects = self.workflows.apply(command);
+                let effects = effects.into_iter().map(Effect::Workflow).collect();
+                Applied::with(Outcome::Done, effects)
+            }
         }
     }
 
--- a/crates/hg_ledger/src/lib.rs
+++ b/crates/hg_ledger/src/lib.rs
@@ -10,6 +10,7 @@
 mod job;
 mod ledger;
 mod limits;
+mod workflow;
 
 pub use command::{Command, ListConflict, Outcome};
 pub use effect::Effect;
@@ -17,3 +18,7 @@
 pub use job::{Job, JobEvent, JobNote};
 pub use ledger::{Applied, Ledger};
 pub use limits::{ENDED_MAX, FAILURES_MAX, NOTED_MAX, NOTES_MAX, OPERATIONS_MAX, REFUSALS_MAX};
+pub use workflow::{
+    EndedWorkflow, LostRun, Occupancy, Occurrence, OpenRun, Phase, RunRef, RunStart, StepRecord,
+    TaskRecord, TaskState, Terms, Workflow, WorkflowCommand, WorkflowEffect, WorkflowLedger,
+};
--- /dev/null
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -0,0 +1,432 @@
+//! The record of workflows and how commands change it.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use hg_model::{
+    AccountName, Catalog, Checkpoint, EndKind, Incarnation, JobId, QueueName, RunEnd, RunNumber,
+    StepId, TaskId, Time, UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
+};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    EndedWorkflow, LostRun, Occupancy, Occurrence, OpenRun, Phase, RunRef, RunStart, StepRecord,
+    TaskState, Terms, Workflow, WorkflowCommand, WorkflowEffect,
+};
+
+/// Most workflows in their final state that are remembered.
+const ENDED_MAX: usize = 50_000;
+
+/// Catalog, upstreams, workflows and open runs.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkflowLedger {
+    catalog: Option<Catalog>,
+    upstreams: BTreeMap<UpstreamName, UpstreamReport>,
+    jobs: BTreeMap<JobId, Workflow>,
+    ended: BTreeMap<JobId, EndedWorkflow>,
+    ended_order: VecDeque<JobId>,
+    occupancy: Occupancy,
+}
+
+/// Queries.
+impl WorkflowLedger {
+    /// The catalog in force.
+    pub const fn catalog(&self) -> Option<&Catalog> {
+        self.catalog.as_ref()
+    }
+
+    /// The registered upstreams, by name.
+    pub const fn upstreams(&self) -> &BTreeMap<UpstreamName, UpstreamReport> {
+        &self.upstreams
+    }
+
+    /// The workflows that are not in their final state, or of which something runs.
+    pub const fn jobs(&self) -> &BTreeMap<JobId, Workflow> {
+        &self.jobs
+    }
+
+    /// A workflow that is not in its final state, or of which something runs.
+    pub fn job(&self, id: &JobId) -> Option<&Workflow> {
+        self.jobs.get(id)
+    }
+
+    /// What a caller is shown of a workflow; `None` if it is not known.
+    pub fn state(&self, id: &JobId) -> Option<WorkflowState> {
+        let open = self.jobs.get(id).map(Workflow::state);
+        open.or_else(|| self.ended.get(id).map(|ended| ended.state))
+    }
+
+    /// How many workflows of a queue were taken in and have not begun.
+    pub fn waiting_in(&self, queue: &QueueName) -> usize {
+        let waits =
+            |job: &&Workflow| job.terms.queue == *queue && job.state() == WorkflowState::Queued;
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Which runs take room where.
+    pub const fn occupancy(&self) -> &Occupancy {
+        &self.occupancy
+    }
+
+    /// When the workflow ended that has been in its final state for longest.
+    pub fn oldest_end(&self) -> Option<Time> {
+        self.ended.get(self.ended_order.front()?).map(|ended| ended.at)
+    }
+}
+
+/// Commands.
+impl WorkflowLedger {
+    /// Applies one command of the log. What no longer applies changes nothing.
+    pub fn apply(&mut self, command: WorkflowCommand) -> Vec<WorkflowEffect> {
+        let mut effects = Vec::new();
+        match command {
+            WorkflowCommand::PutCatalog(catalog) => self.put_catalog(catalog, &mut effects),
+            WorkflowCommand::Accept { id, spec, terms, account, at } => {
+                self.accept(id, spec, terms, account, at, &mut effects);
+            }
+            WorkflowCommand::Cancel { id, at } => {
+                self.end_early(&id, WorkflowState::Cancelled, at, &mut effects);
+            }
+            WorkflowCommand::Start { starts, at } => {
+                self.start_all(starts, at, &mut effects);
+            }
+            WorkflowCommand::Ends { upstream, incarnation, ends, at } => {
+                for end in ends {
+                    self.end(&upstream, incarnation, &end, at, &mut effects);
+                }
+            }
+            WorkflowCommand::Lose { runs, at } => {
+                for run in runs {
+                    self.lose(run, at, &mut effects);
+                }
+            }
+            WorkflowCommand::Register(report) => self.register(report, &mut effects),
+            WorkflowCommand::Deregister { name, incarnation, at } => {
+                self.deregister(&name, incarnation, at, &mut effects);
+            }
+            WorkflowCommand::Forget { before } => self.forget(before),
+        }
+        effects
+    }
+
+    fn put_catalog(&mut self, catalog: Catalog, effects: &mut Vec<WorkflowEffect>) {
+        if self.catalog.as_ref().is_none_or(|current| current.version < catalog.version) {
+            self.catalog = Some(catalog);
+            effects.push(WorkflowEffect::Catalog);
+        }
+    }
+
+    fn accept(
+        &mut self,
+        id: JobId,
+        spec: WorkflowSpec,
+        terms: Terms,
+        account: Option<AccountName>,
+        at: Time,
+        effects: &mut Vec<WorkflowEffect>,
+    ) {
+        if self.state(&id).is_some() {
+            return;
+        }
+        let workflow = Workflow {
+            spec,
+            terms,
+            account,
+            accepted_at: at,
+            phase: Phase::Active,
+            started: false,
+            occurrences: BTreeMap::new(),
+            finished: BTreeSet::new(),
+            open_runs: 0,
+        };
+        self.jobs.insert(id.clone(), workflow);
+        effects.push(WorkflowEffect::Accepted(id));
+    }
+
+    /// Opens the runs that still apply; the members of a gang all together or not at all.
+    fn start_all(&mut self, starts: Vec<RunStart>, at: Time, effects: &mut Vec<WorkflowEffect>) {
+        let mut void: BTreeSet<StepId> = BTreeSet::new();
+        for start in &starts {
+            if self.is_gang(&start.task.step) && !self.may_start(start) {
+                void.insert(start.task.step.clone());
+            }
+        }
+        for start in starts {
+            if !void.contains(&start.task.step) && self.may_start(&start) {
+                self.start(start, at, effects);
+            }
+        }
+    }
+
+    fn is_gang(&self, step: &StepId) -> bool {
+        let spec = self.jobs.get(&step.job).and_then(|job| at_index(&job.spec.steps, step.step));
+        spec.is_some_and(|spec| spec.gang)
+    }
+
+    fn may_start(&self, start: &RunStart) -> bool {
+        let StepId { job: id, occurrence, step } = &start.task.step;
+        let here = self.upstreams.get(&start.upstream);
+        if here.is_none_or(|report| report.incarnation != start.incarnation) {
+            return false;
+        }
+        let Some(job) = self.jobs.get(id).filter(|job| job.is_active()) else { return false };
+        if job.finished.contains(occurrence) || *occurrence >= job.spec.occurrences() {
+            return false;
+        }
+        let Some(spec) = at_index(&job.spec.steps, *step) else { return false };
+        if start.task.index >= spec.tasks {
+            return false;
+        }
+        let Some(record) = job.occurrences.get(occurrence).and_then(|o| at_index(&o.steps, *step))
+        else {
+            return true;
+        };
+        at_index(&record.tasks, start.task.index)
+            .is_some_and(|task| task.is_waiting() && start.run > task.run)
+    }
+
+    fn start(&mut self, start: RunStart, at: Time, effects: &mut Vec<WorkflowEffect>) {
+        let StepId { job: id, occurrence, step } = &start.task.step;
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(spec) = at_index(&job.spec.steps, *step) else { return };
+        let claim = spec.claim();
+        let begun =
+            job.occurrences.entry(*occurrence).or_insert_with(|| Occurrence::new(&job.spec));
+        let Some(record) = at_index_mut(&mut begun.steps, *step) else { return };
+        let Some(task) = at_index_mut(&mut record.tasks, start.task.index) else { return };
+        task.state = TaskState::Running { upstream: start.upstream.clone() };
+        task.run = start.run;
+        job.started = true;
+        job.open_runs += 1;
+        let run = OpenRun { run: start.run, incarnation: start.incarnation, claim, since: at };
+        self.occupancy.open(start.upstream.clone(), start.task.clone(), run);
+        let RunStart { task, run, upstream, .. } = start;
+        effects.push(WorkflowEffect::Opened(RunRef { upstream, task, run }));
+    }
+
+    fn end(
+        &mut self,
+        upstream: &UpstreamName,
+        incarnation: Incarnation,
+        end: &RunEnd,
+        at: Time,
+        effects: &mut Vec<WorkflowEffect>,
+    ) {
+        let open = self.occupancy.get(upstream, &end.task);
+        if open.is_none_or(|open| open.run != end.run || open.incarnation != incarnation) {
+            return;
+        }
+        let at_run = RunRef { upstream: upstream.clone(), task: end.task.clone(), run: end.run };
+        self.close(&at_run, end.kind, end.checkpoint.as_ref(), effects);
+        self.settle(&end.task.step, at, effects);
+    }
+
+    fn lose(&mut self, lost: LostRun, at: Time, effects: &mut Vec<WorkflowEffect>) {
+        let LostRun { task, run, upstream, checkpoint } = lost;
+        if self.occupancy.get(&upstream, &task).is_none_or(|open| open.run != run) {
+            return;
+        }
+        let step = task.step.clone();
+        let at_run = RunRef { upstream, task, run };
+        self.close(&at_run, EndKind::Lapsed, checkpoint.as_ref(), effects);
+        self.settle(&step, at, effects);
+    }
+
+    /// Gives the room of a run back and notes how it ended.
+    fn close(
+        &mut self,
+        at: &RunRef,
+        kind: EndKind,
+        checkpoint: Option<&Checkpoint>,
+        effects: &mut Vec<WorkflowEffect>,
+    ) {
+        self.occupancy.close(&at.upstream, &at.task);
+        effects.push(WorkflowEffect::Closed(at.clone()));
+        let StepId { job, occurrence, step } = &at.task.step;
+        let Some(job) = self.jobs.get_mut(job) else { return };
+        job.open_runs = job.open_runs.saturating_sub(1);
+        let gang = at_index(&job.spec.steps, *step).is_some_and(|spec| spec.gang);
+        let record = job.occurrences.get_mut(occurrence);
+        let Some(record) = record.and_then(|o| at_index_mut(&mut o.steps, *step)) else { return };
+        if gang {
+            note_gang_end(record, at, kind, checkpoint);
+        }
+        let Some(task) = at_index_mut(&mut record.tasks, at.task.index) else { return };
+        if checkpoint.is_some() {
+            task.checkpoint = checkpoint.cloned();
+        }
+        if kind == EndKind::Failed {
+            task.failures += 1;
+            task.failed_at = Some(at.upstream.clone());
+        }
+        if kind != EndKind::Done {
+            task.state = TaskState::Waiting;
+        } else if !task.is_done() {
+            task.state = TaskState::Done;
+            record.done += 1;
+        }
+        if gang && kind == EndKind::Done {
+            self.finish_gang(&at.task, at.run, effects);
+        }
+    }
+
+    /// One member that is done stands for all members of the same run.
+    fn finish_gang(&mut self, first: &TaskId, run: RunNumber, effects: &mut Vec<WorkflowEffect>) {
+        let StepId { job: id, occurrence, step } = &first.step;
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let record = job.occurrences.get_mut(occurrence);
+        let Some(record) = record.and_then(|o| at_index_mut(&mut o.steps, *step)) else { return };
+        for (index, task) in (0_u32..).zip(record.tasks.iter_mut()) {
+            if task.is_done() {
+                continue;
+            }
+            if let TaskState::Running { upstream } = &task.state {
+                let task_id = TaskId { step: first.step.clone(), index };
+                self.occupancy.close(upstream, &task_id);
+                job.open_runs = job.open_runs.saturating_sub(1);
+                let upstream = upstream.clone();
+                effects.push(WorkflowEffect::Closed(RunRef { upstream, task: task_id, run }));
+            }
+            task.state = TaskState::Done;
+            record.done += 1;
+        }
+    }
+
+    /// Draws the conclusions from a closed run: a failed job, a finished occurrence or job.
+    fn settle(&mut self, step: &StepId, at: Time, effects: &mut Vec<WorkflowEffect>) {
+        let StepId { job: id, occurrence, step } = step;
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let lasting = at_index(&job.spec.steps, *step).is_some_and(|spec| spec.lasting);
+        let attempts = job.terms.attempts.max(1);
+        let record = job.occurrences.get(occurrence).and_then(|o| at_index(&o.steps, *step));
+        let failed = record.is_some_and(|r| failures_of(r) >= attempts) && !lasting;
+        if job.is_active() && failed {
+            self.end_early(id, WorkflowState::Failed, at, effects);
+            return;
+        }
+        if job.occurrences.get(occurrence).is_some_and(Occurrence::is_done) {
+            job.occurrences.remove(occurrence);
+            job.finished.insert(*occurrence);
+        }
+        let state = match job.phase {
+            Phase::Ending(state) => state,
+            Phase::Active if job.is_done() => WorkflowState::Completed,
+            Phase::Active => return,
+        };
+        if job.open_runs == 0 {
+            self.archive(id.clone(), state, at, effects);
+        }
+    }
+
+    fn end_early(
+        &mut self,
+        id: &JobId,
+        state: WorkflowState,
+        at: Time,
+        effects: &mut Vec<WorkflowEffect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| job.is_active()) else { return };
+        job.phase = Phase::Ending(state);
+        if job.open_runs == 0 {
+            self.archive(id.clone(), state, at, effects);
+        } else {
+            effects.push(WorkflowEffect::Ending(id.clone()));
+        }
+    }
+
+    fn archive(
+        &mut self,
+        id: JobId,
+        state: WorkflowState,
+        at: Time,
+        effects: &mut Vec<WorkflowEffect>,
+    ) {
+        self.jobs.remove(&id);
+        self.ended.insert(id.clone(), EndedWorkflow { state, at });
+        self.ended_order.push_back(id.clone());
+        while self.ended_order.len() > ENDED_MAX {
+            if let Some(oldest) = self.ended_order.pop_front() {
+                self.ended.remove(&oldest);
+            }
+        }
+        effects.push(WorkflowEffect::Ended(id));
+    }
+
+    fn register(&mut self, report: UpstreamReport, effects: &mut Vec<WorkflowEffect>) {
+        let name = report.name.clone();
+        let known = self.upstreams.get(&name);
+        if known.is_some_and(|known| known.incarnation > report.incarnation || *known == report) {
+            return;
+        }
+        self.upstreams.insert(name.clone(), report);
+        effects.push(WorkflowEffect::Registered(name));
+    }
+
+    fn deregister(
+        &mut self,
+        name: &UpstreamName,
+        incarnation: Incarnation,
+        at: Time,
+        effects: &mut Vec<WorkflowEffect>,
+    ) {
+        if self.upstreams.get(name).is_none_or(|known| known.incarnation != incarnation) {
+            return;
+        }
+        let lost: Vec<LostRun> = self
+            .occupancy
+            .runs(name)
+            .map(|(task, open)| LostRun {
+                task: task.clone(),
+                run: open.run,
+                upstream: name.clone(),
+                checkpoint: None,
+            })
+            .collect();
+        for run in lost {
+            self.lose(run, at, effects);
+        }
+        self.upstreams.remove(name);
+        effects.push(WorkflowEffect::Deregistered(name.clone()));
+    }
+
+    fn forget(&mut self, before: Time) {
+        while let Some(id) = self.ended_order.front() {
+            if self.ended.get(id).is_some_and(|ended| ended.at >= before) {
+                return;
+            }
+            self.ended.remove(id);
+            self.ended_order.pop_front();
+        }
+    }
+}
+
+/// How often the step's worst task, or its gang, has failed.
+fn failures_of(record: &StepRecord) -> u32 {
+    let worst = record.tasks.iter().map(|task| task.failures).max().unwrap_or(0);
+    worst.max(record.gang_failures)
+}
+
+/// A gang fails once for each run, however many members fail; progress saved by one serves all.
+fn note_gang_end(
+    record: &mut StepRecord,
+    at: &RunRef,
+    kind: EndKind,
+    checkpoint: Option<&Checkpoint>,
+) {
+    if kind == EndKind::Failed && at.run > record.gang_failed_run {
+        record.gang_failed_run = at.run;
+        record.gang_failures += 1;
+    }
+    if let Some(checkpoint) = checkpoint {
+        for task in &mut record.tasks {
+            task.checkpoint = Some(checkpoint.clone());
+        }
+    }
+}
+
+fn at_index<T>(items: &[T], index: u32) -> Option<&T> {
+    items.get(usize::try_from(index).ok()?)
+}
+
+fn at_index_mut<T>(items: &mut [T], index: u32) -> Option<&mut T> {
+    items.get_mut(usize::try_from(index).ok()?)
+}
--- /dev/null
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -0,0 +1,15 @@
+//! The replicated record of workflows: catalog, upstreams, jobs, and which task runs where.
+
+mod command;
+mod effect;
+mod ledger;
+mod occupancy;
+mod record;
+
+pub use command::{LostRun, RunStart, WorkflowCommand};
+pub use effect::{RunRef, WorkflowEffect};
+pub use ledger::WorkflowLedger;
+pub use occupancy::{Occupancy, OpenRun};
+pub use record::{
+    EndedWorkflow, Occurrence, Phase, StepRecord, TaskRecord, TaskState, Terms, Workflow,
+};
--- a/crates/hg_entry/src/control_client.rs
+++ b/crates/hg_link/src/control_client.rs
@@ -2,17 +2,18 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use hg_link::{Directive, Link, LinkEndpoint, LinkError, Reply, Request};
 use hg_model::EntryName;
 use slog::{Logger, debug, info};
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::{Directive, Link, LinkEndpoint, LinkError, Reply, Request};
+
 /// How long one control host may take.
 const TRY_LIMIT: Duration = Duration::from_millis(800);
 /// How long to wait before the next host is asked.
@@ -20,6 +21,9 @@
 /// How long to wait when the leader has too much to do.
 const BUSY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Most control hosts that are remembered; the oldest go first.
+const ADDRESSES_MAX: usize = 32;
+
 /// No control leader answered in time. What was asked may or may not have taken effect.
 #[derive(Debug, Display, Error)]
 #[display("control: {step}: no leader answered within {limit:?}; last heard: {last}")]
@@ -28,6 +32,8 @@
     pub step: &'static str,
     /// How long it was tried.
     pub limit: Duration,
+    /// Whether some host may have taken the request in without answering.
+    pub unsure: bool,
     /// The last obstacle.
     #[error(not(source))]
     pub last: String,
@@ -37,12 +43,13 @@
 #[derive(Debug)]
 pub struct ControlClient {
     endpoint: LinkEndpoint,
-    addresses: Vec<SocketAddr>,
+    /// The hosts from the settings, and those that were learned of since.
+    addresses: Mutex<Vec<SocketAddr>>,
     name: EntryName,
     log: Logger,
     links: Mutex<BTreeMap<SocketAddr, Link>>,
     /// Held while a link is made, so that a host never sees two of ours at once.
-    connecting: BTreeMap<SocketAddr, AsyncMutex<()>>,
+    connecting: Mutex<BTreeMap<SocketAddr, Arc<AsyncMutex<()>>>>,
     leader: Mutex<Option<SocketAddr>>,
     directives: Sender<Directive>,
 }
@@ -61,10 +68,43 @@
         log: Logger,
     ) -> Self {
         let (links, leader) = (Mutex::default(), Mutex::default());
-        let connecting = addresses.iter().map(|a| (*a, AsyncMutex::new(()))).collect();
+        let (addresses, connecting) = (Mutex::new(addresses), Mutex::default());
         Self { endpoint, addresses, name, log, links, connecting, leader, directives }
     }
 
+    /// Learns of control hosts that may lead; the settings may name hosts that are gone.
+    pub fn learn(&self, hosts: impl IntoIterator<Item = SocketAddr>) {
+        let mut addresses = lock(&self.addresses);
+        for host in hosts {
+            if !addresses.contains(&host) {
+                info!(self.log, "control link: learned of a host"; "event" => "control.learned",
+                    "peer" => %host);
+                addresses.push(host);
+            }
+        }
+        let excess = addresses.len().saturating_sub(ADDRESSES_MAX);
+        addresses.drain(..excess);
+    }
+
+    /// Whom the last answer showed to lead.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        *lock(&self.leader)
+    }
+
+    /// Notes who leads, as learned elsewhere.
+    pub fn note_leader(&self, leader: SocketAddr) {
+        *lock(&self.leader) = Some(leader);
+    }
+
+    /// Notes whom a host that does not lead takes for the leader.
+    pub fn note_hint(&self, told_by: SocketAddr, leader: Option<SocketAddr>) {
+        if leader.is_some() {
+            self.learn_leader(told_by, leader);
+        } else {
+            self.forget_leader(told_by);
+        }
+    }
+
     /// Asks the leader, wherever it is by now.
     ///
     /// # Errors
@@ -74,6 +114,7 @@
         let deadline = Instant::now() + limit;
         let mut turn = 0;
         let mut last = "no host was tried".to_owned();
+        let mut unsure = false;
         while Instant::now() < deadline {
             let target = self.target(turn);
             turn += 1;
@@ -85,6 +126,12 @@
                         sleep(PAUSE).await;
                     }
                 }
+                Ok(Reply::Unsure) => {
+                    unsure = true;
+                    last = format!("{target} lost the lead");
+                    self.forget_leader(target);
+                    sleep(PAUSE).await;
+                }
                 Ok(Reply::Busy) => {
                     last = format!("{target} is busy");
                     sleep(BUSY_PAUSE).await;
@@ -94,21 +141,23 @@
                     return Ok(reply);
                 }
                 Err(error) => {
+                    unsure |= !error.is_unsent();
                     last = error.to_string();
                     self.forget_leader(target);
                     sleep(PAUSE).await;
                 }
             }
         }
-        Err(ControlError { step: step_of(req), limit, last })
+        Err(ControlError { step: step_of(req), limit, unsure, last })
     }
 
     /// Keeps links to all control hosts, so that whichever leads can send directives.
     pub async fn keep_links(&self) {
         const CHECK: Duration = Duration::from_millis(250);
         loop {
-            for address in &self.addresses {
-                if let Err(error) = self.link(*address).await {
+            let addresses = lock(&self.addresses).clone();
+            for address in addresses {
+                if let Err(error) = self.link(address).await {
                     debug!(self.log, "control link: not made"; "event" => "link.unmade",
                         "error" => %error);
                 }
@@ -127,13 +176,17 @@
         match leader {
             // A leader that keeps failing must not keep the others from being asked.
             Some(leader) if turn % 4 != 3 => leader,
-            _ => self.addresses[turn % self.addresses.len()],
+            _ => {
+                let addresses = lock(&self.addresses);
+                addresses[turn % addresses.len()]
+            }
         }
     }
 
     fn learn_leader(&self, told_by: SocketAddr, address: Option<SocketAddr>) {
-        let known = address.filter(|a| *a != told_by && self.addresses.contains(a));
-        *lock(&self.leader) = known;
+        let other = address.filter(|a| *a != told_by);
+        self.learn(other);
+        *lock(&self.leader) = other;
     }
 
     fn forget_leader(&self, target: SocketAddr) {
@@ -157,10 +210,8 @@
         if let Some(link) = self.open_link(address) {
             return Ok(link);
         }
-        let _alone = match self.connecting.get(&address) {
-            Some(mutex) => Some(mutex.lock().await),
-            None => None,
-        };
+        let connecting = Arc::clone(lock(&self.connecting).entry(address).or_default());
+        let _alone = connecting.lock().await;
         // Somebody else may have made it meanwhile.
         if let Some(link) = self.open_link(address) {
             return Ok(link);
@@ -217,5 +268,6 @@
         Request::Drain { .. } => "drain",
         Request::Status => "status",
         Request::Join { .. } => "join",
+        Request::Workflow(_) => "workflow",
     }
 }
--- a/crates/hg_link/src/error.rs
+++ b/crates/hg_link/src/error.rs
@@ -90,6 +90,11 @@
         matches!(self.step, LinkStep::Connect)
     }
 
+    /// Whether the peer cannot have received the message.
+    pub const fn is_unsent(&self) -> bool {
+        matches!(self.step, LinkStep::Bind | LinkStep::Connect)
+    }
+
     /// Whether the peer was just too slow.
     pub const fn is_timeout(&self) -> bool {
         matches!(self.source, LinkCause::Timeout)
--- a/crates/hg_link/src/lib.rs
+++ b/crates/hg_link/src/lib.rs
@@ -6,9 +6,11 @@
 //! * [`Request`] and [`Reply`]: what an entry asks of control, one stream each.
 //! * [`Directive`]: what the control leader tells an entry.
 //! * [`KeyFolder`]: the authority and the keys of the hosts, on disk.
+//! * [`ControlClient`] finds the control leader and asks it.
 //! * [`LinkEndpoint`] and [`Link`]: connecting, accepting, sending and receiving.
 
 mod codec;
+mod control_client;
 mod directive;
 mod endpoint;
 mod error;
@@ -16,8 +18,10 @@
 mod link;
 mod request;
 mod view;
+mod workflow;
 
 pub use codec::{FRAME_MAX_BYTES, VERSION, decode, encode};
+pub use control_client::{ControlClient, ControlError};
 pub use directive::{Directive, RunMember, RunOrder, RunPhase};
 pub use endpoint::{Arriving, LinkEndpoint, SetupError};
 pub use error::{LinkCause, LinkError, LinkStep};
@@ -25,3 +29,4 @@
 pub use link::{Incoming, Link};
 pub use request::{Beats, Reply, Request};
 pub use view::{AnswerSource, ClusterView, JobView, RefusedView, ReplicaView, UpstreamView};
+pub use workflow::{CallerAsk, CallerCall, WorkflowReply, WorkflowRequest};
--- a/crates/hg_link/src/request.rs
+++ b/crates/hg_link/src/request.rs
@@ -10,7 +10,7 @@
 use hg_replica::ReplicaId;
 use serde::{Deserialize, Serialize};
 
-use crate::{ClusterView, JobView, RefusedView, UpstreamView};
+use crate::{ClusterView, JobView, RefusedView, UpstreamView, WorkflowReply, WorkflowRequest};
 
 /// What changed among an entry's upstreams since its last report.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -101,6 +101,8 @@
         /// Where it listens.
         address: SocketAddr,
     },
+    /// A request about workflows.
+    Workflow(WorkflowRequest),
 }
 
 /// The answer to a [`Request`].
@@ -117,6 +119,8 @@
     },
     /// Too many requests wait.
     Busy,
+    /// The lead ended while the request was being logged; it may or may not take effect.
+    Unsure,
     /// The report was taken in.
     Beats {
         /// The version of the lists in force.
@@ -157,4 +161,6 @@
     NoUpstream,
     /// The control group.
     Status(Box<ClusterView>),
+    /// The answer to a request about workflows.
+    Workflow(WorkflowReply),
 }
--- a/crates/hg_model/src/lib.rs
+++ b/crates/hg_model/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`JobSpec`] is what a caller asks for; [`Answer`] is what the caller gets.
 //! * [`Attempt`] and [`LeaseId`] tie a job to the upstreams that run it.
 //! * [`Life`] is the typestate of a job's life; [`JobLife`] stores it.
+//! * [`WorkflowSpec`] is a job made of steps; [`Catalog`] holds the queues where such jobs come in.
 
 mod answer;
 mod attempt;
@@ -22,6 +23,7 @@
 mod resources;
 mod time;
 mod upstream;
+mod workflow;
 
 pub use answer::{Answer, AnswerKind, AttemptResult, NotRunReason};
 pub use attempt::{Attempt, LeaseId, MarkId, Member, Term};
@@ -34,9 +36,15 @@
 pub use life::{Finished, JobLife, Life, Placed, Queued, Running, StopCause};
 pub use lists::{Account, Guarantee, ListFault, ListVersion, Lists, Plan};
 pub use name::{
-    AccountName, DataCentreName, EntryName, HostName, JobId, KindName, NameError, OperationId,
-    PlanName, RackName, UpstreamName,
+    AccountName, DataCentreName, EntryName, HostName, ImageName, JobId, KindName, Label, NameError,
+    OperationId, PlanName, PoolName, QueueName, RackName, UpstreamName,
 };
 pub use resources::{Resources, Shape};
 pub use time::Time;
 pub use upstream::{UpstreamBeat, UpstreamSpec};
+pub use workflow::{
+    AdviceTerms, Catalog, CatalogFault, Checkpoint, ClientAccount, ClockReading, EndKind,
+    Footprint, Incarnation, ListedRun, PoolSpec, QueueSpec, Route, RunEnd, RunListing, RunNumber,
+    Schedule, StepId, StepSpec, TargetSpec, TaskId, TaskIdError, UpstreamReport, WorkflowFault,
+    WorkflowSpec, WorkflowState,
+};
--- a/crates/hg_model/src/name.rs
+++ b/crates/hg_model/src/name.rs
@@ -121,3 +121,23 @@
     OperationId,
     "operation id"
 );
+name_type!(
+    /// Names a queue of workflows.
+    QueueName,
+    "queue name"
+);
+name_type!(
+    /// Names a pool of like upstreams.
+    PoolName,
+    "pool name"
+);
+name_type!(
+    /// A label that an upstream bears.
+    Label,
+    "label"
+);
+name_type!(
+    /// Names what a task runs.
+    ImageName,
+    "image name"
+);
--- /dev/null
+++ b/crates/hg_model/src/workflow/mod.rs
@@ -0,0 +1,24 @@
+//! Workflows: jobs made of steps, each with tasks that upstreams run one by one or as a gang.
+//!
+//! * [`WorkflowSpec`] and [`StepSpec`] are what a caller hands in.
+//! * [`TaskId`], [`RunNumber`] and [`Checkpoint`] name a task, one start of it, and its saved progress.
+//! * [`Catalog`] holds the queues, pools and client accounts that operators maintain.
+//! * [`UpstreamReport`] is what an upstream says of itself; [`RunEnd`] how a run ended there.
+
+mod catalog;
+mod footprint;
+mod queue;
+mod report;
+mod run;
+mod state;
+mod step;
+mod task;
+
+pub use catalog::{Catalog, CatalogFault, ClientAccount, PoolSpec, Route};
+pub use footprint::Footprint;
+pub use queue::{AdviceTerms, QueueSpec};
+pub use report::{ClockReading, UpstreamReport};
+pub use run::{EndKind, ListedRun, RunEnd, RunListing};
+pub use state::WorkflowState;
+pub use step::{Schedule, StepSpec, TargetSpec, WorkflowFault, WorkflowSpec};
+pub use task::{Checkpoint, Incarnation, RunNumber, StepId, TaskId, TaskIdError};
--- /dev/null
+++ b/crates/hg_model/src/workflow/report.rs
@@ -0,0 +1,44 @@
+//! What an upstream that runs tasks of workflows says of itself.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Footprint, Incarnation};
+use crate::{DataCentreName, Label, PoolName, RackName, UpstreamName};
+
+/// An upstream's announcement; its heartbeats repeat it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamReport {
+    /// Its name; a later life may bear the same one.
+    pub name: UpstreamName,
+    /// Which life of it speaks.
+    pub incarnation: Incarnation,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// The pool it belongs to.
+    pub pool: PoolName,
+    /// Where it stands.
+    pub data_centre: DataCentreName,
+    /// Its rack.
+    pub rack: RackName,
+    /// All its labels.
+    pub labels: Vec<Label>,
+    /// What its tasks may use together.
+    pub capacity: Footprint,
+    /// Whether it is about to leave and takes no new work.
+    pub leaving: bool,
+}
+
+impl UpstreamReport {
+    /// Whether it bears a label.
+    pub fn has_label(&self, label: &Label) -> bool {
+        self.labels.contains(label)
+    }
+}
+
+/// A reading of an upstream's own steady clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ClockReading(pub u64);
--- /dev/null
+++ b/crates/hg_model/src/workflow/step.rs
@@ -0,0 +1,240 @@
+//! What a caller hands in.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use super::Footprint;
+use crate::{ImageName, Label, RackName};
+
+/// Most steps of a workflow.
+const STEPS_MAX: usize = 64;
+/// Most tasks of a workflow's steps together, for each occurrence.
+const TASKS_MAX: u64 = 10_000;
+/// Most bytes of what the tasks are told.
+const CONTENT_MAX_BYTES: usize = 4_000;
+/// Most occurrences of a scheduled workflow.
+const OCCURRENCES_MAX: u32 = 10_000;
+
+/// A latency objective for tasks that serve users of their own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetSpec {
+    /// The tail of response times must stay below this, in milliseconds.
+    pub tail_ms: u64,
+}
+
+/// Equal tasks that run side by side.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StepSpec {
+    /// How many tasks; at least one.
+    pub tasks: u32,
+    /// What each of them uses.
+    pub each: Footprint,
+    /// The caller's rough guess of a task's run time, in milliseconds; 0 if it gave none.
+    pub estimate_ms: u64,
+    /// Earlier steps that must be done first.
+    pub after: Vec<u32>,
+    /// Whether a task's progress can be saved and resumed elsewhere.
+    pub checkpointable: bool,
+    /// Whether the tasks work only while all of them run.
+    pub gang: bool,
+    /// Whether the tasks slow each other down when they sit in several racks.
+    pub rack_local: bool,
+    /// A label that the upstream must bear.
+    pub required_label: Option<Label>,
+    /// The rack where the tasks' data lies; they are slower elsewhere.
+    pub data_rack: Option<RackName>,
+    /// Most tasks of one occurrence of the step on one upstream.
+    pub per_upstream_max: Option<u32>,
+    /// Whether copies of a task may run at the same time.
+    pub speculative: bool,
+    /// Whether the tasks run until the job is cancelled, and are started again however they end.
+    pub lasting: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    pub image: Option<ImageName>,
+    /// The objective of tasks that serve users of their own.
+    pub target: Option<TargetSpec>,
+    /// Whether the tasks only use processor time that others leave unused.
+    pub filler: bool,
+    /// How many tasks of a lasting step our own orders may take away at the same time.
+    pub away_max: u32,
+}
+
+impl StepSpec {
+    /// Equal tasks without further conditions.
+    pub fn new(tasks: u32, each: Footprint) -> Self {
+        Self { tasks, each, ..Self::default() }
+    }
+
+    /// The same tasks, which work only together.
+    #[must_use]
+    pub fn with_gang(mut self) -> Self {
+        self.gang = true;
+        self
+    }
+
+    /// The same tasks, after earlier steps.
+    #[must_use]
+    pub fn with_after(mut self, after: Vec<u32>) -> Self {
+        self.after = after;
+        self
+    }
+
+    /// What a task takes from an upstream's capacity while it runs.
+    pub const fn claim(&self) -> Footprint {
+        // Fillers take processor time that nobody else uses, so none is set apart for them.
+        let millicores = if self.filler { 0 } else { self.each.millicores };
+        Footprint { millicores, ..self.each }
+    }
+}
+
+/// When a workflow's steps run again and again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Schedule {
+    /// How many times.
+    pub occurrences: u32,
+    /// When the first is due, in milliseconds since 1970.
+    pub first_due_ms: u64,
+    /// How long after it the next is due, in milliseconds.
+    pub period_ms: u64,
+}
+
+impl Schedule {
+    /// When an occurrence is due, in milliseconds since 1970.
+    pub const fn due_ms(&self, occurrence: u32) -> u64 {
+        self.first_due_ms.saturating_add(self.period_ms.saturating_mul(occurrence as u64))
+    }
+}
+
+/// A workflow as its caller describes it.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkflowSpec {
+    /// What the tasks are told; handed to upstreams unchanged.
+    pub content: Arc<str>,
+    /// The steps.
+    pub steps: Vec<StepSpec>,
+    /// When the steps run, if they run at set times.
+    pub schedule: Option<Schedule>,
+}
+
+/// A workflow that cannot be accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum WorkflowFault {
+    /// It has no steps, too many, or too many tasks.
+    #[display("give 1 to {STEPS_MAX} steps with at most {TASKS_MAX} tasks together")]
+    Size,
+    /// A step has no tasks.
+    #[display("step {step} has no tasks")]
+    NoTasks {
+        /// The step.
+        step: usize,
+    },
+    /// A step names one that does not come before it.
+    #[display("step {step} is to follow step {after}, which is not an earlier one")]
+    Order {
+        /// The step.
+        step: usize,
+        /// What it names.
+        after: u32,
+    },
+    /// Its content is too long.
+    #[display("the content has more than {CONTENT_MAX_BYTES} bytes")]
+    Content,
+    /// It would run too often.
+    #[display("at most {OCCURRENCES_MAX} occurrences are allowed")]
+    Occurrences,
+}
+
+impl WorkflowSpec {
+    /// A workflow that runs once, at once.
+    pub fn new(content: &str, steps: Vec<StepSpec>) -> Self {
+        Self { content: Arc::from(content), steps, schedule: None }
+    }
+
+    /// The same workflow at set times.
+    #[must_use]
+    pub fn with_schedule(mut self, schedule: Schedule) -> Self {
+        self.schedule = Some(schedule);
+        self
+    }
+
+    /// Checks the parts against each other.
+    ///
+    /// # Errors
+    ///
+    /// The first [`WorkflowFault`].
+    pub fn check(&self) -> Result<(), WorkflowFault> {
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        if self.steps.is_empty() || self.steps.len() > STEPS_MAX || tasks > TASKS_MAX {
+            return Err(WorkflowFault::Size);
+        }
+        if self.content.len() > CONTENT_MAX_BYTES {
+            return Err(WorkflowFault::Content);
+        }
+        if self.occurrences() > OCCURRENCES_MAX {
+            return Err(WorkflowFault::Occurrences);
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            if step.tasks == 0 {
+                return Err(WorkflowFault::NoTasks { step: number });
+            }
+            let is_earlier = |after: u32| usize::try_from(after).is_ok_and(|a| a < number);
+            if let Some(after) = step.after.iter().find(|after| !is_earlier(**after)) {
+                return Err(WorkflowFault::Order { step: number, after: *after });
+            }
+        }
+        Ok(())
+    }
+
+    /// How many times the steps run; at least once.
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.occurrences.max(1))
+    }
+
+    /// Whether any task runs until the job is cancelled.
+    pub fn is_lasting(&self) -> bool {
+        self.steps.iter().any(|step| step.lasting)
+    }
+
+    /// Processor and accelerator time that the estimates add up to, in core-milliseconds.
+    pub fn estimated_work(&self) -> u64 {
+        let of =
+            |step: &StepSpec| u64::from(step.tasks) * step.estimate_ms * step.each.weight() / 1_000;
+        self.steps.iter().map(of).sum()
+    }
+
+    /// The longest chain of estimates, in milliseconds.
+    pub fn estimated_chain_ms(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let earlier =
+                step.after.iter().filter_map(|after| ends.get(usize::try_from(*after).ok()?));
+            let begin = earlier.copied().max().unwrap_or(0);
+            ends.push(begin + step.estimate_ms);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    /// Labels that some task requires.
+    pub fn required_labels(&self) -> BTreeSet<&Label> {
+        self.steps.iter().filter_map(|step| step.required_label.as_ref()).collect()
+    }
+}
+
+/// The content is the caller's own and stays out of logs.
+impl fmt::Debug for WorkflowSpec {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("WorkflowSpec")
+            .field("content_bytes", &self.content.len())
+            .field("steps", &self.steps)
+            .field("schedule", &self.schedule)
+            .finish()
+    }
+}
--- a/crates/hg_policy/src/lib.rs
+++ b/crates/hg_policy/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`Marks`] keeps, for each guaranteed part, the upstream where it can be claimed. That set is the
 //!   proof that every guarantee fits by stopping only work that may be stopped.
 //! * [`Health`] puts upstreams aside that fail many different jobs.
+//! * [`WorkflowScheduler`] decides about jobs made of steps, from the ledger and a [`Fleet`].
 //! * [`check_fit`] refuses lists whose guarantees do not fit the pool together.
 
 mod books;
@@ -27,6 +28,7 @@
 mod scheduler;
 mod upkeep;
 mod wait;
+mod workflow;
 
 pub use fit::check_fit;
 pub use health::{Health, HealthState};
@@ -37,3 +39,4 @@
 pub use room::Room;
 pub use scheduler::{Abort, Decisions, Refusal, Scheduler, Shortage};
 pub use wait::WaitReason;
+pub use workflow::{Fleet, Rejection, WorkflowDecisions, WorkflowScheduler, admit};
--- a/crates/hg_policy/src/scheduler.rs
+++ b/crates/hg_policy/src/scheduler.rs
@@ -363,7 +363,10 @@
                 self.pool.forget_if_gone(name);
                 self.marks_due = true;
             }
-            Effect::Committed { .. } | Effect::Finished { .. } | Effect::Rehomed(_) => {}
+            Effect::Committed { .. }
+            | Effect::Finished { .. }
+            | Effect::Rehomed(_)
+            | Effect::Workflow(_) => {}
         }
     }
 
--- /dev/null
+++ b/crates/hg_policy/src/workflow/admission.rs
@@ -0,0 +1,58 @@
+//! Which workflows are turned away at once.
+//!
+//! Answers the load of jobs that can never run: no upstream of the pool, empty, could hold one of their
+//! tasks. Saying so at once frees the caller to do something else.
+
+use derive_more::Display;
+use hg_ledger::WorkflowLedger;
+use hg_model::{Footprint, QueueSpec, StepSpec, WorkflowSpec};
+
+/// Why a workflow was turned away before anything of it ran.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum Rejection {
+    /// No upstream of the pool could ever hold a task of this step.
+    #[display("no upstream of the pool can hold a task of step {step}")]
+    FitsNowhere {
+        /// The step.
+        step: usize,
+    },
+    /// A gang is larger than the whole pool.
+    #[display("the pool cannot hold all members of step {step} at once")]
+    GangTooLarge {
+        /// The step.
+        step: usize,
+    },
+}
+
+/// Whether a workflow could ever run in the queue's pool.
+///
+/// # Errors
+///
+/// [`Rejection`] with the first step that could not.
+pub fn admit(
+    ledger: &WorkflowLedger,
+    queue: &QueueSpec,
+    spec: &WorkflowSpec,
+) -> Result<(), Rejection> {
+    let pool: Vec<_> = ledger.upstreams().values().filter(|u| u.pool == queue.pool).collect();
+    if pool.is_empty() {
+        // Nothing is known yet, so nothing can be ruled out.
+        return Ok(());
+    }
+    for (number, step) in spec.steps.iter().enumerate() {
+        let suits = |label_of: &StepSpec, capacity: &Footprint| label_of.claim().fits(capacity);
+        let holding = pool.iter().filter(|u| {
+            step.required_label.as_ref().is_none_or(|l| u.has_label(l)) && suits(step, &u.capacity)
+        });
+        let each_max = step.per_upstream_max.unwrap_or(u32::MAX).min(step.tasks);
+        let room: u64 =
+            holding.map(|u| u64::from(u.capacity.count_of(&step.claim(), each_max))).sum();
+        if room == 0 {
+            return Err(Rejection::FitsNowhere { step: number });
+        }
+        if step.gang && room < u64::from(step.tasks) {
+            return Err(Rejection::GangTooLarge { step: number });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -0,0 +1,21 @@
+//! Decisions about workflows: which task starts where, what is stopped to make room, what waits.
+//!
+//! One module a decision, each pure:
+//!
+//! * [`ready`](self) lists the steps whose turn has come and ranks them (load: more work than room).
+//! * `placement` finds upstreams for a step (load: small tasks scattered over racks).
+//! * `reclaim` finds the cheapest work to stop for an urgent step (load: a full pool).
+//! * `admission` turns away what can never run (load: jobs that no upstream can hold).
+//! * [`WorkflowScheduler`] ties them together and holds room that is being cleared.
+
+mod admission;
+mod fleet;
+mod placement;
+mod ready;
+mod reclaim;
+mod room_map;
+mod scheduler;
+
+pub use admission::{Rejection, admit};
+pub use fleet::Fleet;
+pub use scheduler::{WorkflowDecisions, WorkflowScheduler};
--- /dev/null
+++ b/crates/hg_policy/src/workflow/ready.rs
@@ -0,0 +1,136 @@
+//! Which steps' turn has come, and in which order they are served.
+//!
+//! Answers the load in which more work waits than there is room: work that can still meet its latency
+//! objective goes before work that can only be late, and that before work that earns nothing any more.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use hg_ledger::{Occurrence, StepRecord, TaskState, Workflow, WorkflowLedger};
+use hg_model::{JobId, RunNumber, StepId, StepSpec, Time};
+
+/// How many times its latency objective a job may take before it is worth nothing.
+const LATE_FACTOR: u64 = 3;
+
+/// Whether a job can still end in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Outlook {
+    /// Within its latency objective.
+    Prompt,
+    /// Later, but not too late to be of use.
+    Late,
+    /// Too late.
+    Overdue,
+}
+
+/// Where a step stands in the order; smaller goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    priority: u32,
+    outlook: Outlook,
+    deadline: Time,
+}
+
+/// A step with tasks that may start now.
+#[derive(Debug)]
+pub(crate) struct ReadyStep<'a> {
+    pub(crate) id: StepId,
+    pub(crate) job: &'a Workflow,
+    pub(crate) spec: &'a StepSpec,
+    /// What it has come to; `None` if its occurrence has not begun.
+    pub(crate) record: Option<&'a StepRecord>,
+    /// The tasks that may start; all of them if the step is a gang.
+    pub(crate) waiting: Vec<u32>,
+    pub(crate) rank: Rank,
+    /// When its turn came at the earliest.
+    pub(crate) due: Time,
+}
+
+impl ReadyStep<'_> {
+    pub(crate) const fn is_urgent(&self) -> bool {
+        self.job.terms.priority == 0
+    }
+
+    /// The number of a task's next run; a gang shares one.
+    pub(crate) fn next_run(&self, task: u32) -> RunNumber {
+        let Some(record) = self.record else { return RunNumber(1) };
+        if self.spec.gang {
+            return record.last_run().next();
+        }
+        let task = usize::try_from(task).ok().and_then(|at| record.tasks.get(at));
+        task.map_or(RunNumber(1), |task| task.run.next())
+    }
+}
+
+/// All steps with tasks that may start at `now`, in the order in which they are served.
+pub(crate) fn ready_steps(now: Time, ledger: &WorkflowLedger) -> Vec<ReadyStep<'_>> {
+    let mut ready = Vec::new();
+    for (id, job) in ledger.jobs() {
+        if job.is_active() {
+            collect(now, id, job, &mut ready);
+        }
+    }
+    ready.sort_by(|a, b| {
+        (a.rank, Reverse(a.spec.tasks), &a.id).cmp(&(b.rank, Reverse(b.spec.tasks), &b.id))
+    });
+    ready
+}
+
+fn collect<'a>(now: Time, id: &JobId, job: &'a Workflow, ready: &mut Vec<ReadyStep<'a>>) {
+    for number in 0..job.spec.occurrences() {
+        let due = match job.spec.schedule {
+            Some(schedule) => Time(schedule.due_ms(number)),
+            None => job.accepted_at,
+        };
+        if job.spec.schedule.is_some() && due > now {
+            return;
+        }
+        if job.finished.contains(&number) {
+            continue;
+        }
+        let begun = job.occurrence(number);
+        let rank = rank(now, job, due);
+        for (step, spec) in (0_u32..).zip(&job.spec.steps) {
+            let waiting = waiting_tasks(spec, step, begun);
+            if waiting.is_empty() {
+                continue;
+            }
+            let record = begun.and_then(|o| o.steps.get(usize::try_from(step).ok()?));
+            let id = StepId { job: id.clone(), occurrence: number, step };
+            ready.push(ReadyStep { id, job, spec, record, waiting, rank, due });
+        }
+    }
+}
+
+fn waiting_tasks(spec: &StepSpec, step: u32, begun: Option<&Occurrence>) -> Vec<u32> {
+    let Some(occurrence) = begun else {
+        return if spec.after.is_empty() { (0..spec.tasks).collect() } else { Vec::new() };
+    };
+    if !occurrence.is_ready(spec) {
+        return Vec::new();
+    }
+    let record = usize::try_from(step).ok().and_then(|at| occurrence.steps.get(at));
+    let Some(record) = record else { return Vec::new() };
+    let is_running = |state: &TaskState| matches!(state, TaskState::Running { .. });
+    if spec.gang && record.tasks.iter().any(|task| is_running(&task.state)) {
+        return Vec::new();
+    }
+    let tasks = (0_u32..).zip(&record.tasks);
+    tasks.filter(|(_, task)| task.is_waiting()).map(|(index, _)| index).collect()
+}
+
+fn rank(now: Time, job: &Workflow, due: Time) -> Rank {
+    let chain_ms = job.spec.estimated_chain_ms();
+    let stretched = chain_ms.saturating_mul(u64::from(job.terms.stretch_milli)) / 1_000;
+    let objective_ms = stretched.saturating_add(job.terms.objective_ms);
+    let after = |ms: u64| due.after(Duration::from_millis(ms));
+    let end = now.after(Duration::from_millis(chain_ms));
+    let outlook = if end <= after(objective_ms) {
+        Outlook::Prompt
+    } else if end <= after(objective_ms.saturating_mul(LATE_FACTOR)) {
+        Outlook::Late
+    } else {
+        Outlook::Overdue
+    };
+    Rank { priority: job.terms.priority, outlook, deadline: after(objective_ms) }
+}
--- /dev/null
+++ b/crates/hg_policy/src/workflow/reclaim.rs
@@ -0,0 +1,190 @@
+//! Which work is stopped to make room for an urgent step.
+//!
+//! Answers the load in which the pool is full when an urgent job comes: it must begin within its bound.
+//! Work is chosen by what its stop throws away: little for tasks whose progress can be saved, else all
+//! that was done since the start. A gang counts as a whole, since none of it goes on without the rest.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hg_ledger::{RunRef, WorkflowLedger};
+use hg_model::{Footprint, StepId, TaskId, Time, UpstreamName};
+
+use super::placement::{has_turn, running_counts, scopes};
+use super::ready::ReadyStep;
+use super::room_map::RoomMap;
+
+/// What a stop costs even if all progress is saved, in milliseconds of the task: it has to be loaded again.
+const RESUME_COST_MS: u64 = 600;
+
+/// Work that stops as one.
+#[derive(Debug)]
+struct Unit {
+    runs: Vec<(RunRef, Footprint)>,
+    cost: u64,
+}
+
+/// Room that will be free once the stops have ended.
+#[derive(Debug)]
+pub(crate) struct Clearance {
+    /// Where each waiting task is to go.
+    pub(crate) placements: BTreeMap<u32, UpstreamName>,
+    /// What has to be stopped.
+    pub(crate) stops: Vec<RunRef>,
+}
+
+/// Finds the cheapest work to stop so that all waiting tasks of an urgent step fit.
+pub(crate) fn clear_for(
+    now: Time,
+    step: &ReadyStep<'_>,
+    room: &RoomMap<'_>,
+    ledger: &WorkflowLedger,
+    stopping: &BTreeSet<RunRef>,
+) -> Option<Clearance> {
+    let units = units(now, step, ledger, stopping);
+    let plans =
+        scopes(now, step, room).into_iter().filter_map(|scope| plan(step, &scope, room, &units));
+    let (_, clearance) = plans.min_by_key(|(cost, _)| *cost)?;
+    Some(clearance)
+}
+
+/// Everything of lower priority that may be stopped.
+fn units(
+    now: Time,
+    step: &ReadyStep<'_>,
+    ledger: &WorkflowLedger,
+    stopping: &BTreeSet<RunRef>,
+) -> Vec<Unit> {
+    let mut gangs: BTreeMap<StepId, Unit> = BTreeMap::new();
+    let mut units = Vec::new();
+    for upstream in ledger.occupancy().upstreams() {
+        for (task, open) in ledger.occupancy().runs(upstream) {
+            let at = RunRef { upstream: upstream.clone(), task: task.clone(), run: open.run };
+            let Some(cost) = stop_cost(now, step, ledger, task, open.since) else { continue };
+            if stopping.contains(&at) {
+                continue;
+            }
+            let run = (at, open.claim);
+            if is_gang(ledger, &task.step) {
+                let unit = gangs.entry(task.step.clone());
+                let unit = unit.or_insert_with(|| Unit { runs: Vec::new(), cost: 0 });
+                unit.runs.push(run);
+                unit.cost += cost;
+            } else {
+                units.push(Unit { runs: vec![run], cost });
+            }
+        }
+    }
+    units.extend(gangs.into_values());
+    units
+}
+
+/// What stopping a run throws away, in thousandths of a core times milliseconds; `None` if it must go on.
+fn stop_cost(
+    now: Time,
+    step: &ReadyStep<'_>,
+    ledger: &WorkflowLedger,
+    task: &TaskId,
+    since: Time,
+) -> Option<u64> {
+    let job = ledger.job(&task.step.job)?;
+    let spec = job.spec.steps.get(usize::try_from(task.step.step).ok()?)?;
+    let yields = job.is_active() && job.terms.priority > step.job.terms.priority && !spec.lasting;
+    if !yields {
+        return None;
+    }
+    let elapsed = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
+    let lost = if spec.checkpointable { RESUME_COST_MS } else { elapsed + RESUME_COST_MS };
+    Some(lost.saturating_mul(spec.each.weight()))
+}
+
+fn is_gang(ledger: &WorkflowLedger, step: &StepId) -> bool {
+    let spec =
+        ledger.job(&step.job).and_then(|job| job.spec.steps.get(usize::try_from(step.step).ok()?));
+    spec.is_some_and(|spec| spec.gang)
+}
+
+/// Places all waiting tasks in a scope, stopping units where free room does not do.
+fn plan(
+    step: &ReadyStep<'_>,
+    scope: &[&UpstreamName],
+    room: &RoomMap<'_>,
+    units: &[Unit],
+) -> Option<(u64, Clearance)> {
+    let claim = step.spec.claim();
+    let mut room = room.clone();
+    let mut counts = running_counts(step);
+    let mut chosen: BTreeSet<usize> = BTreeSet::new();
+    let mut placements = BTreeMap::new();
+    let mut total = 0;
+    let by_upstream = units_by_upstream(units);
+    for task in &step.waiting {
+        let open = scope.iter().filter(|name| has_turn(step, &counts, name));
+        let options = open.filter_map(|name| {
+            let (cost, evict) = eviction(name, &claim, &room, units, &by_upstream, &chosen)?;
+            let left = room.seats.get(*name)?.open().accelerators;
+            Some((cost, left, *name, evict))
+        });
+        let (cost, _, name, evict) =
+            options.min_by_key(|(cost, left, name, _)| (*cost, *left, *name))?;
+        for unit in evict {
+            chosen.insert(unit);
+            for (run, freed) in &units[unit].runs {
+                room.give(&run.upstream, freed);
+            }
+        }
+        total += cost;
+        room.take(name, &claim);
+        *counts.entry(name.clone()).or_insert(0) += 1;
+        placements.insert(*task, name.clone());
+    }
+    let stops = chosen.iter().flat_map(|unit| &units[*unit].runs).map(|(run, _)| run.clone());
+    Some((total, Clearance { placements, stops: stops.collect() }))
+}
+
+fn units_by_upstream(units: &[Unit]) -> BTreeMap<&UpstreamName, Vec<usize>> {
+    let mut map: BTreeMap<&UpstreamName, Vec<usize>> = BTreeMap::new();
+    for (number, unit) in units.iter().enumerate() {
+        let upstreams: BTreeSet<&UpstreamName> =
+            unit.runs.iter().map(|(run, _)| &run.upstream).collect();
+        for upstream in upstreams {
+            map.entry(upstream).or_default().push(number);
+        }
+    }
+    for numbers in map.values_mut() {
+        numbers.sort_by_key(|number| units[*number].cost);
+    }
+    map
+}
+
+/// The cheapest units to stop on one upstream so that one more task fits there, with their cost.
+fn eviction(
+    name: &UpstreamName,
+    claim: &Footprint,
+    room: &RoomMap<'_>,
+    units: &[Unit],
+    by_upstream: &BTreeMap<&UpstreamName, Vec<usize>>,
+    chosen: &BTreeSet<usize>,
+) -> Option<(u64, Vec<usize>)> {
+    let seat = room.seats.get(name)?;
+    let mut free = seat.free;
+    let mut evict = Vec::new();
+    let mut cost = 0;
+    if claim.fits(&free.minus(&seat.held)) {
+        return Some((0, evict));
+    }
+    for number in by_upstream.get(name).into_iter().flatten() {
+        if chosen.contains(number) {
+            continue;
+        }
+        let unit = &units[*number];
+        for (_, freed) in unit.runs.iter().filter(|(run, _)| run.upstream == *name) {
+            free = free.plus(freed);
+        }
+        cost += unit.cost;
+        evict.push(*number);
+        if claim.fits(&free.minus(&seat.held)) {
+            return Some((cost, evict));
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/hg_policy/tests/workflow_rounds.rs
@@ -0,0 +1,119 @@
+//! Rounds of decisions about workflows, each replaying one load pattern.
+
+mod workflow_support;
+
+use hg_model::{EndKind, Footprint, StepSpec, WorkflowState};
+use workflow_support::{Bench, run_of};
+
+const WHOLE: Footprint = Footprint::new(8, 8_000, 16_384);
+const SINGLE: Footprint = Footprint::new(1, 2_800, 8_200);
+
+fn patient(tasks: u32) -> StepSpec {
+    StepSpec { estimate_ms: 6_000, ..StepSpec::new(tasks, SINGLE) }
+}
+
+fn urgent_gang(tasks: u32) -> StepSpec {
+    StepSpec { estimate_ms: 2_500, ..StepSpec::new(tasks, WHOLE) }.with_gang()
+}
+
+#[test]
+fn urgent_starts_only_when_stopped_work_has_ended() {
+    let mut bench = Bench::new(1, 2);
+    bench.submit("sweep", 2, vec![patient(16)]);
+    let running: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    assert_eq!(running.len(), 16, "the pool is full");
+    bench.submit("quote", 0, vec![urgent_gang(2)]);
+    let first = bench.round(10);
+    assert_eq!(first.stops.len(), 16, "all of it has to go");
+    assert!(first.starts.is_empty());
+    for run in &running[..15] {
+        bench.end(run, EndKind::Stopped);
+        assert!(bench.round(10).starts.is_empty(), "one upstream is still in use");
+    }
+    bench.end(&running[15], EndKind::Stopped);
+    let starts = bench.round(10).starts;
+    assert_eq!(starts.len(), 2, "both members at once");
+    assert!(starts.iter().all(|start| start.task.step.job.as_str() == "quote"));
+    assert!(bench.fits());
+}
+
+#[test]
+fn urgent_does_not_overbook_beside_held_room() {
+    let mut bench = Bench::new(1, 2);
+    bench.submit("sweep", 2, vec![patient(16)]);
+    bench.round(0);
+    bench.submit("quote", 0, vec![urgent_gang(1)]);
+    bench.round(10);
+    bench.submit("quote-2", 0, vec![urgent_gang(1)]);
+    for _ in 0..20 {
+        bench.round(10);
+        assert!(bench.fits());
+    }
+}
+
+#[test]
+fn gang_starts_whole_or_not_at_all() {
+    let mut bench = Bench::new(1, 2);
+    bench.submit("sweep", 1, vec![patient(1)]);
+    let sweep = run_of(&bench.round(0).starts[0]);
+    bench.submit("gang", 1, vec![urgent_gang(2)]);
+    assert!(bench.round(10).starts.is_empty());
+    bench.end(&sweep, EndKind::Done);
+    assert_eq!(bench.round(10).starts.len(), 2);
+}
+
+#[test]
+fn gang_with_a_lost_member_stops_the_others() {
+    let mut bench = Bench::new(1, 3);
+    bench.submit("gang", 1, vec![urgent_gang(3)]);
+    let runs: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    bench.end(&runs[0], EndKind::Failed);
+    let stops = bench.round(10).stops;
+    assert_eq!(stops, runs[1..].to_vec());
+    bench.end(&runs[1], EndKind::Broken);
+    assert!(bench.round(10).starts.is_empty(), "one member still runs");
+    bench.end(&runs[2], EndKind::Broken);
+    let again = bench.round(10).starts;
+    assert_eq!(again.len(), 3);
+    assert!(again.iter().all(|start| start.run.0 == 2), "all members share the next number");
+}
+
+#[test]
+fn gang_is_done_when_one_member_is() {
+    let mut bench = Bench::new(1, 3);
+    bench.submit("gang", 1, vec![urgent_gang(3)]);
+    let runs: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    bench.end(&runs[1], EndKind::Done);
+    assert_eq!(bench.state("gang"), Some(WorkflowState::Completed));
+    bench.end(&runs[0], EndKind::Done);
+    assert!(bench.round(10).starts.is_empty());
+}
+
+#[test]
+fn job_fails_after_its_attempts() {
+    let mut bench = Bench::new(1, 3);
+    bench.submit("hopeless", 1, vec![patient(1)]);
+    let first = run_of(&bench.round(0).starts[0]);
+    bench.end(&first, EndKind::Failed);
+    assert_eq!(bench.state("hopeless"), Some(WorkflowState::Running));
+    let second = run_of(&bench.round(10).starts[0]);
+    assert_ne!(first.upstream, second.upstream, "another upstream is tried");
+    bench.end(&second, EndKind::Failed);
+    assert_eq!(bench.state("hopeless"), Some(WorkflowState::Failed));
+    assert!(bench.round(10).starts.is_empty());
+}
+
+#[test]
+fn step_waits_for_those_before_it() {
+    let mut bench = Bench::new(1, 2);
+    bench.submit("chain", 1, vec![patient(2), patient(1).with_after(vec![0])]);
+    let first: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    assert_eq!(first.len(), 2);
+    bench.end(&first[0], EndKind::Done);
+    assert!(bench.round(10).starts.is_empty());
+    bench.end(&first[1], EndKind::Done);
+    let last = bench.round(10).starts;
+    assert_eq!(last.len(), 1);
+    bench.end(&run_of(&last[0]), EndKind::Done);
+    assert_eq!(bench.state("chain"), Some(WorkflowState::Completed));
+}
--- /dev/null
+++ b/crates/hg_policy/tests/workflow_support/mod.rs
@@ -0,0 +1,136 @@
+//! A small pool with a ledger and a scheduler, driven step by step.
+
+use std::sync::Arc;
+
+use hg_ledger::{RunRef, RunStart, Terms, WorkflowCommand, WorkflowEffect, WorkflowLedger};
+use hg_model::{
+    AccountName, DataCentreName, EndKind, Footprint, Incarnation, JobId, Label, PoolName,
+    QueueName, RackName, RunEnd, StepSpec, Time, UpstreamName, UpstreamReport, WorkflowSpec,
+    WorkflowState,
+};
+use hg_policy::{Fleet, WorkflowDecisions, WorkflowScheduler};
+
+/// What every upstream of the pool has.
+pub const HOST: Footprint = Footprint::new(8, 32_000, 131_072);
+
+/// A pool of upstreams with everything that decides about it.
+#[derive(Debug)]
+pub struct Bench {
+    /// The record.
+    pub ledger: WorkflowLedger,
+    /// The decisions.
+    pub scheduler: WorkflowScheduler,
+    /// What was observed.
+    pub fleet: Fleet,
+    /// The present time.
+    pub now: Time,
+    ends: u64,
+}
+
+pub fn upstream(number: u32) -> UpstreamName {
+    UpstreamName::new(format!("u{number}")).expect("a good name")
+}
+
+pub fn job(name: &str) -> JobId {
+    JobId::new(name).expect("a good name")
+}
+
+impl Bench {
+    /// `racks` racks of `per_rack` upstreams each.
+    pub fn new(racks: u32, per_rack: u32) -> Self {
+        let mut bench = Self {
+            ledger: WorkflowLedger::default(),
+            scheduler: WorkflowScheduler::new(),
+            fleet: Fleet::default(),
+            now: Time(1_000_000),
+            ends: 0,
+        };
+        for number in 0..racks * per_rack {
+            bench.apply(WorkflowCommand::Register(report(number, number / per_rack)));
+        }
+        bench
+    }
+
+    pub fn apply(&mut self, command: WorkflowCommand) -> Vec<WorkflowEffect> {
+        let effects = self.ledger.apply(command);
+        for effect in &effects {
+            if let WorkflowEffect::Closed(run) = effect {
+                self.scheduler.note_closed(run);
+            }
+        }
+        effects
+    }
+
+    pub fn submit(&mut self, name: &str, priority: u32, steps: Vec<StepSpec>) {
+        let terms = Terms {
+            queue: QueueName::new("queue").expect("a good name"),
+            pool: PoolName::new("pool").expect("a good name"),
+            priority,
+            attempts: 2,
+            stretch_milli: 3_000,
+            objective_ms: 1_000,
+            advice: None,
+        };
+        let spec = WorkflowSpec { content: Arc::from("work"), steps, schedule: None };
+        let account = AccountName::new("lindqvist").ok();
+        let at = self.now;
+        self.apply(WorkflowCommand::Accept { id: job(name), spec, terms, account, at });
+    }
+
+    /// Lets time pass and carries out one round; starts take effect at once.
+    pub fn round(&mut self, after_ms: u64) -> WorkflowDecisions {
+        self.now = Time(self.now.0 + after_ms);
+        let decisions = self.scheduler.decide(self.now, &self.ledger, &self.fleet);
+        let (starts, at) = (decisions.starts.clone(), self.now);
+        self.apply(WorkflowCommand::Start { starts, at });
+        decisions
+    }
+
+    pub fn end(&mut self, run: &RunRef, kind: EndKind) {
+        self.ends += 1;
+        let end = RunEnd {
+            number: self.ends,
+            task: run.task.clone(),
+            run: run.run,
+            kind,
+            checkpoint: None,
+        };
+        let (upstream, at) = (run.upstream.clone(), self.now);
+        self.scheduler.note_end(at, &upstream, &run.task.step.job, kind);
+        let command =
+            WorkflowCommand::Ends { upstream, incarnation: Incarnation(1), ends: vec![end], at };
+        self.apply(command);
+    }
+
+    pub fn state(&self, name: &str) -> Option<WorkflowState> {
+        self.ledger.state(&job(name))
+    }
+
+    /// Whether no upstream holds more than it has.
+    pub fn fits(&self) -> bool {
+        let occupancy = self.ledger.occupancy();
+        self.ledger.upstreams().values().all(|u| occupancy.used(&u.name).fits(&u.capacity))
+    }
+}
+
+pub fn run_of(start: &RunStart) -> RunRef {
+    RunRef { upstream: start.upstream.clone(), task: start.task.clone(), run: start.run }
+}
+
+fn report(number: u32, rack: u32) -> UpstreamReport {
+    let rack = format!("r{rack}");
+    UpstreamReport {
+        name: upstream(number),
+        incarnation: Incarnation(1),
+        address: format!("127.0.0.1:{}", 9_000 + number).parse().expect("a good address"),
+        pool: PoolName::new("pool").expect("a good name"),
+        data_centre: DataCentreName::new("north").expect("a good name"),
+        rack: RackName::new(&rack).expect("a good name"),
+        labels: vec![
+            Label::new("a").expect("a good name"),
+            Label::new(&rack).expect("a good name"),
+        ],
+        capacity: HOST,
+        leaving: false,
+    }
+}
--- a/crates/hg_replica/src/leading.rs
+++ b/crates/hg_replica/src/leading.rs
@@ -5,6 +5,13 @@
 use crate::replica::{Replica, Role};
 use crate::{Body, Entry, Index, Message, Payload, Peer, ReplicaId, Write};
 
+/// A group of so few voters is not made smaller.
+const VOTERS_LEAST: usize = 3;
+/// More voters make each commit dearer and bear losses that are not promised.
+const VOTERS_MAX: usize = 5;
+/// A voter counts as gone after this many election times without an answer.
+const SILENT_ELECTIONS: u32 = 8;
+
 impl Replica {
     pub(crate) fn append(&mut self, payload: Payload) -> Index {
         let entry = Entry { index: self.log.last().next(), term: self.hard.term, payload };
@@ -169,6 +176,9 @@
             let matched = leader.progress.get(id).map(|p| p.matched);
             !peer.voter && matched.is_some_and(|m| m >= self.commit && m > Index(0))
         });
+        let wants_voter =
+            configuration.voters().count() < VOTERS_MAX || self.silent_voter(now).is_some();
+        let caught_up = caught_up.filter(|_| wants_voter);
         let joiner = leader.joiners.iter().find(|(id, _)| !configuration.peers.contains_key(id));
         let mut next = configuration.clone();
         if let Some((id, _)) = caught_up {
@@ -181,6 +191,8 @@
             } else {
                 next.peers.insert(id.clone(), Peer { address: *address, voter: false });
             }
+        } else if let Some(gone) = self.superfluous_voter(now) {
+            next.peers.remove(&gone);
         } else {
             return;
         }
@@ -190,6 +202,30 @@
         }
     }
 
+    /// A silent voter whose removal lets the group bear as many losses as before.
+    ///
+    /// With an even number of voters, one fewer makes a smaller quorum. So a host that is gone for good
+    /// gives way once its successor votes; one that comes back asks for a place again.
+    fn superfluous_voter(&self, now: Time) -> Option<ReplicaId> {
+        let count = self.log.configuration().voters().count();
+        if !count.is_multiple_of(2) || count <= VOTERS_LEAST {
+            return None;
+        }
+        self.silent_voter(now)
+    }
+
+    /// A voter that has not answered for long.
+    fn silent_voter(&self, now: Time) -> Option<ReplicaId> {
+        let Role::Leader(leader) = &self.role else { return None };
+        let configuration = self.log.configuration();
+        let silence = self.timing.election * SILENT_ELECTIONS;
+        let is_silent = |id: &&ReplicaId| {
+            let heard = leader.progress.get(id).and_then(|p| p.heard).unwrap_or(leader.since);
+            **id != self.id && now >= heard.max(leader.since).after(silence)
+        };
+        configuration.voters().find(is_silent).cloned()
+    }
+
     pub(crate) fn forget_settled_joiners(&mut self) {
         let peers = &self.log.configuration().peers;
         if let Role::Leader(leader) = &mut self.role {
--- a/crates/hg_settings/src/log.rs
+++ b/crates/hg_settings/src/log.rs
@@ -54,7 +54,7 @@
     ),
 ];
 
-/// Makes the root logger, which writes to standard error.
+/// Makes the root logger, which writes to standard output.
 pub fn new_log(settings: LogSettings, host: &str) -> Logger {
     let level = match settings.level {
         LogLevel::Debug => slog::Level::Debug,
@@ -64,12 +64,12 @@
     let host = host.to_owned();
     match settings.format {
         LogFormat::Text => {
-            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let decorator = slog_term::PlainDecorator::new(std::io::stdout());
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
             finish(drain, level, host)
         }
         LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            let drain = slog_json::Json::default(std::io::stdout()).fuse();
             finish(drain, level, host)
         }
     }
