--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -10,6 +10,8 @@
 
 /// Upstreams' clocks may run slow by this share, in percent.
 const CLOCK_SLOW_PERCENT: u64 = 2;
+/// How long an upstream gets no new work after it left an order unanswered or turned one away.
+pub(super) const SUSPECT: Duration = Duration::from_millis(2_000);
 /// How long after a listing its ends may be acknowledged: less than a host takes to start again.
 const ACKNOWLEDGE_WITHIN: Duration = Duration::from_millis(1_000);
 /// Added to a lease's end before it counts as over, for the way and for rounding.
@@ -184,6 +186,12 @@
         self.clock_at(now).is_some_and(|clock| clock.0 > until.0.saturating_add(margin))
     }
 
+    /// It left an order unanswered: perhaps its life is over.
+    pub(super) fn note_silence(&mut self, now: Time) {
+        self.suspect_until = now.after(SUSPECT);
+        self.listed_at = None;
+    }
+
     /// Which ends may be acknowledged now; 0 for none.
     ///
     /// Each life counts its ends anew, so a number must not reach a later life under the same name:
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -10,7 +10,7 @@
 };
 use hg_policy::Fleet;
 
-use super::session::{RunSession, Session, StartStage, StopStage};
+use super::session::{RunSession, SUSPECT, Session, StartStage, StopStage};
 use super::{Order, OrderId, OrderKind, OrderReport, OrderResult, StartRefusal};
 
 /// How long the answer to a start or stop may take; upstreams answer within a few milliseconds.
@@ -25,8 +25,6 @@
 const LISTING_PAUSE: Duration = Duration::from_millis(100);
 /// How long acknowledgements for an idle upstream wait for more of them.
 const ACKNOWLEDGE_PAUSE: Duration = Duration::from_millis(50);
-/// How long an upstream gets no new work after it left an order unanswered or turned one away.
-const SUSPECT: Duration = Duration::from_millis(2_000);
 /// An upstream that said nothing for this long gets no new work: two heartbeats and a little.
 const SILENCE: Duration = Duration::from_millis(3_300);
 /// An upstream that said nothing for this long and runs nothing is forgotten.
@@ -369,7 +367,7 @@
             work.commands.push(WorkflowCommand::Deregister { name, incarnation, at: now });
         }
         _ => {
-            session.suspect_until = now.after(SUSPECT);
+            session.note_silence(now);
             session.renew_at = now.after(LISTING_PAUSE);
         }
     }
@@ -494,7 +492,7 @@
         OrderResult::Fenced | OrderResult::Listed(_) => retry(run, id),
         OrderResult::Unanswered(_) => {
             on_unanswered(run, id);
-            session.suspect_until = now.after(SUSPECT);
+            session.note_silence(now);
         }
     }
 }
