Proposals that a gap in the lease swallows are made again

Cause: giving a run up, or taking ends in, was proposed just when the leader's lease had lapsed for a moment (busy processor, 0.4 cores). The proposal was dropped, the session went on waiting for it, and the lead went on too. A proposal that was not applied after 1 s is made again; all commands are idempotent.

--- a/crates/hg_control/src/core.rs
+++ b/crates/hg_control/src/core.rs
@@ -13,7 +13,7 @@
     StorageError, Timing,
 };
 use hg_settings::ControlLimits;
-use slog::{Logger, crit, warn};
+use slog::{Logger, crit, debug, warn};
 
 use crate::entries::Entries;
 use crate::workflow::{Order, OrderReport, WorkflowLead, WorkflowReplyKind};
@@ -323,6 +323,8 @@
                 self.proposed = true;
             }
             Err(_) => {
+                debug!(self.log, "control: not proposed, the lease is over";
+                    "event" => "propose.refused", "purpose" => ?purpose);
                 let reply = self.not_leader();
                 self.turn_away(&purpose, reply);
             }
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -12,6 +12,8 @@
 const CLOCK_SLOW_PERCENT: u64 = 2;
 /// How long an upstream gets no new work after it left an order unanswered or turned one away.
 pub(super) const SUSPECT: Duration = Duration::from_millis(2_000);
+/// After this a proposal is made again that was not applied; a quorum takes a few disk writes for one.
+const PROPOSE_AGAIN: Duration = Duration::from_millis(1_000);
 /// How long after a listing its ends may be acknowledged: less than a host takes to start again.
 const ACKNOWLEDGE_WITHIN: Duration = Duration::from_millis(1_000);
 /// Added to a lease's end before it counts as over, for the way and for rounding.
@@ -51,8 +53,8 @@
     pub(super) in_doubt: bool,
     /// How many start orders had no answer.
     pub(super) unanswered: u32,
-    /// Whether it is proposed to give the run up.
-    pub(super) losing: bool,
+    /// When it was last proposed to give the run up.
+    losing: Option<Time>,
     /// Orders with a higher id were sent after the last change of its start or stop.
     pub(super) settled_by: OrderId,
     pub(super) checkpoint: Option<Checkpoint>,
@@ -67,7 +69,7 @@
             stop: StopStage::Unwanted,
             in_doubt: false,
             unanswered: 0,
-            losing: false,
+            losing: None,
             settled_by: OrderId(0),
             checkpoint: None,
         }
@@ -80,6 +82,16 @@
         session
     }
 
+    /// Whether it is proposed to give the run up.
+    pub(super) fn is_losing(&self, now: Time) -> bool {
+        is_under_way(self.losing, now)
+    }
+
+    /// It is proposed to give the run up.
+    pub(super) const fn note_losing(&mut self, now: Time) {
+        self.losing = Some(now);
+    }
+
     /// Whether the upstream was told of it, in this lead or perhaps in an earlier one.
     pub(super) fn may_be_there(&self) -> bool {
         self.in_doubt || self.start != StartStage::Unsent
@@ -111,8 +123,8 @@
     pub(super) telling: u64,
     /// When it last listed its runs, which shows that this life of it goes on.
     pub(super) listed_at: Option<Time>,
-    /// Whether ends are proposed and not in the log yet.
-    pub(super) noting: bool,
+    /// When ends were proposed that are not in the log yet.
+    pub(super) noting: Option<Time>,
     /// It gets no new work before then.
     pub(super) suspect_until: Time,
     pub(super) runs: BTreeMap<TaskId, RunSession>,
@@ -140,7 +152,7 @@
             told: 0,
             telling: 0,
             listed_at: None,
-            noting: false,
+            noting: None,
             suspect_until: Time(0),
             runs: BTreeMap::new(),
         }
@@ -186,6 +198,11 @@
         self.clock_at(now).is_some_and(|clock| clock.0 > until.0.saturating_add(margin))
     }
 
+    /// Whether ends are on their way into the log.
+    pub(super) fn is_noting(&self, now: Time) -> bool {
+        is_under_way(self.noting, now)
+    }
+
     /// It left an order unanswered: perhaps its life is over.
     pub(super) fn note_silence(&mut self, now: Time) {
         self.suspect_until = now.after(SUSPECT);
@@ -207,6 +224,11 @@
     }
 }
 
+/// Whether what was proposed then may still be applied; a proposal is lost if the lease had just ended.
+fn is_under_way(proposed: Option<Time>, now: Time) -> bool {
+    proposed.is_some_and(|at| now < at.after(PROPOSE_AGAIN))
+}
+
 fn stretched(ms: u64) -> Duration {
     Duration::from_millis(ms * 100 / (100 - CLOCK_SLOW_PERCENT) + 1)
 }
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -156,7 +156,7 @@
         upto: u64,
     ) {
         if let Some(session) = self.sessions.get_mut(name).filter(|s| s.incarnation == life) {
-            session.noting = false;
+            session.noting = None;
             session.acknowledged = session.acknowledged.max(upto);
             let idle = session.runs.is_empty();
             session.renew_at = if idle { now.after(ACKNOWLEDGE_PAUSE) } else { now };
@@ -259,7 +259,8 @@
         let over = session.leases_are_over(self.now);
         let tasks: Vec<TaskId> = session.runs.keys().cloned().collect();
         for task in tasks {
-            let Some(run) = session.runs.get(&task).cloned().filter(|run| !run.losing) else {
+            let run = session.runs.get(&task).cloned();
+            let Some(run) = run.filter(|run| !run.is_losing(self.now)) else {
                 continue;
             };
             let never_sent = !run.may_be_there() && run.stop == StopStage::Wanted;
@@ -277,7 +278,7 @@
     }
 
     fn give_up(&self, session: &mut Session, task: &TaskId, run: &RunSession) -> LostRun {
-        update(session, task, |run| run.losing = true);
+        update(session, task, |run| run.note_losing(self.now));
         LostRun {
             task: task.clone(),
             run: run.run,
@@ -311,7 +312,8 @@
             || session.acknowledged > session.told
             || session.unseen
             || (!session.runs.is_empty() && !session.has_clock());
-        let blocked = session.renewal.is_some() || session.noting || self.now < session.renew_at;
+        let blocked =
+            session.renewal.is_some() || session.is_noting(self.now) || self.now < session.renew_at;
         if !is_due || blocked {
             return;
         }
@@ -398,8 +400,8 @@
             run.start = StartStage::Settled;
             run.in_doubt = false;
             run.checkpoint = listed.checkpoint.clone().or(run.checkpoint.take());
-        } else if !ended.contains(&(task, run.run)) && !run.losing {
-            lost.extend(on_unlisted(id, name, task, run));
+        } else if !ended.contains(&(task, run.run)) && !run.is_losing(now) {
+            lost.extend(on_unlisted(now, id, name, task, run));
         }
     }
     if !lost.is_empty() {
@@ -408,7 +410,7 @@
     let pause = if session.acknowledged > session.told { Duration::ZERO } else { LISTING_PAUSE };
     session.renew_at = now.after(pause);
     let Some(upto) = fresh.last().map(|end| end.number) else { return };
-    session.noting = true;
+    session.noting = Some(now);
     let (upstream, incarnation) = (name.clone(), session.incarnation);
     debug_assert!(upto > session.acknowledged, "only fresh ends are taken in");
     work.commands.push(WorkflowCommand::Ends { upstream, incarnation, ends: fresh, at: now });
@@ -416,6 +418,7 @@
 
 /// A run that the upstream does not list. Returns it if it surely never will be there.
 fn on_unlisted(
+    now: Time,
     listing: OrderId,
     name: &UpstreamName,
     task: &TaskId,
@@ -436,7 +439,7 @@
     if !surely_gone {
         return None;
     }
-    run.losing = true;
+    run.note_losing(now);
     Some(LostRun {
         task: task.clone(),
         run: run.run,
@@ -477,7 +480,7 @@
             session.renew_at = session.renew_at.min(now);
         }
         OrderResult::NotStarted(refusal) => {
-            if let Some(lost) = on_refusal(refusal, name, task, run, settled_by) {
+            if let Some(lost) = on_refusal(now, refusal, name, task, run, settled_by) {
                 work.commands.push(WorkflowCommand::Lose { runs: vec![lost], at: now });
             }
             if !matches!(refusal, StartRefusal::Outdated | StartRefusal::Late) {
@@ -522,6 +525,7 @@
 
 /// The upstream did not start the run. Returns it if it surely never will.
 fn on_refusal(
+    now: Time,
     refusal: StartRefusal,
     name: &UpstreamName,
     task: &TaskId,
@@ -552,7 +556,7 @@
         }
         return None;
     }
-    run.losing = true;
+    run.note_losing(now);
     Some(LostRun {
         task: task.clone(),
         run: run.run,
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -8,6 +8,10 @@
 const SEEDS: u64 = 60;
 /// Workflows handed in while things go wrong.
 const JOBS: u32 = 30;
+/// Workflows handed in afterwards.
+const LATE_JOBS: u32 = 10;
+/// Leases that were not renewed while things went wrong are over after this, in milliseconds.
+const LAST_LEASE_MS: u64 = 12_000;
 /// How long all of them may take to end once nothing goes wrong any more, in milliseconds.
 const SETTLE_MS: u64 = 60_000;
 
@@ -33,6 +37,11 @@
     }
     world.run(5_000);
     world.calm();
+    world.run(LAST_LEASE_MS);
+    let wasted = world.wasted();
+    for number in JOBS..JOBS + LATE_JOBS {
+        world.submit(number);
+    }
     let mut waited = 0;
     while !world.unfinished().is_empty() && waited < SETTLE_MS {
         world.run(1_000);
@@ -41,6 +50,7 @@
     }
     let unfinished = world.unfinished();
     assert!(unfinished.is_empty(), "not ended after {SETTLE_MS} ms: {unfinished:?}");
+    assert_eq!(world.wasted(), wasted, "no work is lost when nothing goes wrong");
 }
 
 #[test]
@@ -79,5 +89,11 @@
         crashes: 100,
         leaders: 100,
         cancels: 100,
+        gaps: 100,
     });
 }
+
+#[test]
+fn runs_with_gaps_in_the_lease() {
+    play(Faults { gaps: 500, failing: 30, ..Faults::default() });
+}
--- a/crates/hg_control/tests/workflow_world/oracle.rs
+++ b/crates/hg_control/tests/workflow_world/oracle.rs
@@ -17,6 +17,8 @@
     /// How often a task may fail.
     attempts: u32,
     done: BTreeSet<TaskId>,
+    /// Runs whose lease expired, and tasks whose work was done again.
+    pub wasted: u32,
 }
 
 impl Oracle {
@@ -66,6 +68,8 @@
     /// A run ended at an upstream that goes on.
     pub fn ended(&mut self, upstream: &UpstreamName, task: &TaskId, kind: EndKind) {
         self.running.remove(task);
+        let redone = kind == EndKind::Done && self.done.contains(task);
+        self.wasted += u32::from(kind == EndKind::Lapsed || redone);
         if kind == EndKind::Done {
             self.unnoted.insert((upstream.clone(), task.clone()));
             self.done.insert(task.clone());
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -1,6 +1,7 @@
 //! The leader, the upstreams and what lies between them, step by step.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use hg_control::{
@@ -14,7 +15,7 @@
     UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
 };
 use hg_policy::PolicyConfig;
-use hg_replica::{Configuration, Index, Peer, ReplicaId, Snapshot, Storage, Timing};
+use hg_replica::{Body, Configuration, Index, Message, Peer, ReplicaId, Snapshot, Storage, Timing};
 use hg_settings::{ControlLimits, LogFormat, LogLevel, LogSettings, new_log};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -28,6 +29,8 @@
 const STEP_MS: u64 = 10;
 /// How long an order or its answer is on its way at most.
 const WAY_MS: u64 = 20;
+/// Longer than a lease, shorter than the time after which a leader gives up.
+const GAP_MS: u64 = 580;
 const HEARTBEAT_MS: u64 = 1_500;
 const ATTEMPTS: u32 = 3;
 const UPSTREAMS: u32 = 6;
@@ -53,6 +56,8 @@
     pub leaders: u32,
     /// Chance of a cancelled job, each second.
     pub cancels: u32,
+    /// Chance of a gap in the leader's lease, each second.
+    pub gaps: u32,
 }
 
 #[derive(Debug)]
@@ -84,6 +89,10 @@
     oracle: Oracle,
     states: BTreeMap<JobId, Option<WorkflowState>>,
     specs: BTreeMap<JobId, WorkflowSpec>,
+    /// What the other replica says next.
+    said: Vec<Message>,
+    /// The other replica says nothing before then.
+    silent_until: u64,
 }
 
 impl std::fmt::Debug for World {
@@ -112,11 +121,13 @@
             oracle: Oracle::new(ATTEMPTS),
             states: BTreeMap::new(),
             specs: BTreeMap::new(),
+            said: Vec::new(),
+            silent_until: 0,
         };
         for number in 0..UPSTREAMS {
             world.bear(&name(number));
         }
-        world.run(2_000);
+        world.run(4_000);
         world.ask(None, WorkflowRequest::PutCatalog(catalog()));
         world.run(500);
         world
@@ -129,7 +140,9 @@
             self.strike();
             self.upstreams_tick();
             self.heartbeats();
-            let mut events = Vec::new();
+            let said = std::mem::take(&mut self.said).into_iter();
+            let mut events: Vec<Event> =
+                said.map(|message| Event::Message { from: peer_address(), message }).collect();
             while let Some(entry) = self.flights.first_entry() {
                 if entry.key().0 > self.now {
                     break;
@@ -151,6 +164,11 @@
         }
     }
 
+    /// How many runs lost their lease or did work again that was done.
+    pub const fn wasted(&self) -> u32 {
+        self.oracle.wasted
+    }
+
     /// Hands in a workflow drawn by lot.
     pub fn submit(&mut self, number: u32) {
         let id = JobId::new(format!("job-{number}")).expect("a good name");
@@ -236,6 +254,11 @@
                 _ => {}
             }
         }
+        for (_, message) in actions.messages {
+            if self.now >= self.silent_until {
+                self.said.extend(answer_of_peer(message));
+            }
+        }
         for order in actions.orders {
             self.send(order);
         }
@@ -405,6 +428,10 @@
                 self.call(&id, CallerAsk::Cancel);
             }
         }
+        if self.chance(self.faults.gaps) {
+            note(self.now, "gap in the lease");
+            self.silent_until = self.now + GAP_MS;
+        }
         if self.chance(self.faults.leaders) {
             let storage = Storage::open(self.disk.clone()).expect("memory").expect("founded");
             let seed = self.rng.random_range(0..u64::MAX);
@@ -445,12 +472,36 @@
     ReplicaId { host: HostName::new("c1").expect("a good name"), incarnation: 1 }
 }
 
+fn peer() -> ReplicaId {
+    ReplicaId { host: HostName::new("c2").expect("a good name"), incarnation: 1 }
+}
+
+fn peer_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_001))
+}
+
+/// The other replica agrees to everything and keeps nothing.
+fn answer_of_peer(message: Message) -> Option<Message> {
+    let body = match message.body {
+        Body::PreVote { .. } => Body::PreVoteReply { granted: true },
+        Body::Vote { .. } => Body::VoteReply { granted: true },
+        Body::Append { prev, entries, sent_at, .. } => {
+            let index = entries.last().map_or(prev, |entry| entry.index);
+            Body::AppendReply { matched: true, index, sent_at }
+        }
+        _ => return None,
+    };
+    Some(Message { from: peer(), to: message.from, term: message.term, body })
+}
+
 fn founding() -> Snapshot {
-    let peer = Peer { address: "127.0.0.1:7000".parse().expect("an address"), voter: true };
+    let voter = |address: SocketAddr| Peer { address, voter: true };
+    let own = SocketAddr::from(([127, 0, 0, 1], 7_000));
+    let peers = BTreeMap::from([(replica(), voter(own)), (peer(), voter(peer_address()))]);
     Snapshot {
         index: Index(1),
         term: Term(1),
-        configuration: Configuration { peers: BTreeMap::from([(replica(), peer)]) },
+        configuration: Configuration { peers },
         data: encode(&Ledger::new()).into(),
     }
 }
