--- a/crates/hg_control/src/workflow/lead.rs
+++ b/crates/hg_control/src/workflow/lead.rs
@@ -8,8 +8,8 @@
 use hg_replica::Disk;
 use slog::{info, warn};
 
-use super::OrderReport;
 use super::sessions::{Sessions, Work};
+use super::{OrderReport, OrderResult};
 use crate::Core;
 use crate::core::Purpose;
 
@@ -66,6 +66,10 @@
     pub(crate) fn on_order_report(&mut self, now: Time, report: OrderReport) {
         self.log_order_report(&report);
         let Some(lead) = self.workflows.as_mut() else { return };
+        if let OrderResult::Listed(listing) = &report.result {
+            let ledger = self.ledger.workflows();
+            lead.scheduler.note_listing(now, ledger, &report.upstream, &listing.running);
+        }
         let mut work = Work::default();
         lead.sessions.on_report(now, report, &mut work);
         lead.changed = true;
@@ -163,7 +167,7 @@
     }
 
     fn log_order_report(&self, report: &OrderReport) {
-        use super::OrderResult::{Fenced, NotStarted, OtherIncarnation, Unanswered};
+        use OrderResult::{Fenced, NotStarted, OtherIncarnation, Unanswered};
         if let Fenced | NotStarted(_) | OtherIncarnation | Unanswered(_) = &report.result {
             warn!(self.log, "workflow: order not carried out"; "event" => "order.failed",
                 "order" => report.id.0, "upstream" => %report.upstream,
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -5,6 +5,7 @@
 //! * [`ready`](self) lists the steps whose turn has come and ranks them (load: more work than room).
 //! * `placement` finds upstreams for a step (load: small tasks scattered over racks).
 //! * `reclaim` finds the cheapest work to stop for an urgent step (load: a full pool).
+//! * `speed` learns which upstreams are slow or stand still (load: workers that slow down).
 //! * `admission` turns away what can never run (load: jobs that no upstream can hold).
 //! * [`WorkflowScheduler`] ties them together and holds room that is being cleared.
 
@@ -15,6 +16,7 @@
 mod reclaim;
 mod room_map;
 mod scheduler;
+mod speed;
 
 pub use admission::{Rejection, admit};
 pub use fleet::Fleet;
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -15,49 +15,62 @@
 /// estimated run time in percent. A slower place costs two more run times.
 const PATIENCE_PERCENT: u64 = 100;
 
+/// A set of upstreams to try.
+#[derive(Debug)]
+pub(crate) struct Scope<'a> {
+    pub(crate) names: Vec<&'a UpstreamName>,
+    /// Whether the step runs at full speed in it.
+    pub(crate) is_near: bool,
+}
+
 /// Finds upstreams for a step's waiting tasks in the free room.
 ///
-/// The result names an upstream for each task that can start; for a gang all of them or none.
+/// The result names an upstream for each task that can start; for a gang all of them or none. A gang
+/// is as slow as its slowest member, so it goes without slower upstreams where it can, but rather
+/// there than far away.
 pub(crate) fn place(
     now: Time,
     step: &ReadyStep<'_>,
     room: &RoomMap<'_>,
 ) -> BTreeMap<u32, UpstreamName> {
+    let scopes = scopes(now, step, room);
     let mut best = BTreeMap::new();
-    for scope in scopes(now, step, room) {
-        let placed = fill(step, &scope, room);
-        if placed.len() == step.waiting.len() {
-            return placed;
-        }
-        if !step.spec.gang && placed.len() > best.len() {
-            best = placed;
+    for is_near in [true, false] {
+        for with_slower in [false, true] {
+            for scope in scopes.iter().filter(|scope| scope.is_near == is_near) {
+                let placed = fill(step, &scope.names, room, with_slower);
+                if placed.len() == step.waiting.len() {
+                    return placed;
+                }
+                if !step.spec.gang && placed.len() > best.len() {
+                    best = placed;
+                }
+            }
         }
     }
     best
 }
 
 /// The sets of upstreams to try, best first.
-pub(crate) fn scopes<'a>(
-    now: Time,
-    step: &ReadyStep<'_>,
-    room: &RoomMap<'a>,
-) -> Vec<Vec<&'a UpstreamName>> {
+pub(crate) fn scopes<'a>(now: Time, step: &ReadyStep<'_>, room: &RoomMap<'a>) -> Vec<Scope<'a>> {
     let racks = room.racks(&step.job.terms.pool, step.spec);
     let names = |seats: &Vec<&Seat<'a>>| seats.iter().map(|s| &s.report.name).collect::<Vec<_>>();
+    let near = |seats: &Vec<&Seat<'a>>| Scope { names: names(seats), is_near: true };
     let mut scopes = Vec::new();
     if let Some(rack) = &step.spec.data_rack {
-        scopes.extend(racks.get(rack).map(names));
+        scopes.extend(racks.get(rack).map(near));
     } else if step.spec.rack_local {
         let mut by_room: Vec<_> = racks.values().collect();
         by_room.sort_by_key(|seats| {
             seats.iter().map(|s| u64::from(s.open().accelerators)).sum::<u64>()
         });
-        scopes.extend(by_room.into_iter().map(names));
+        scopes.extend(by_room.into_iter().map(near));
     }
     let wants_rack = step.spec.data_rack.is_some() || step.spec.rack_local;
-    let could_fit = scopes.iter().any(|scope| could_hold(step, scope, room));
+    let could_fit = scopes.iter().any(|scope| could_hold(step, &scope.names, room));
     if !wants_rack || !could_fit || is_out_of_patience(now, step) {
-        scopes.push(racks.values().flat_map(names).collect());
+        let all = racks.values().flat_map(names).collect();
+        scopes.push(Scope { names: all, is_near: !wants_rack });
     }
     scopes
 }
@@ -85,6 +98,7 @@
     step: &ReadyStep<'_>,
     scope: &[&UpstreamName],
     room: &RoomMap<'_>,
+    with_slower: bool,
 ) -> BTreeMap<u32, UpstreamName> {
     let claim = step.spec.claim();
     let mut seats: Vec<Seat<'_>> =
@@ -93,7 +107,9 @@
     let mut placed = BTreeMap::new();
     for task in &step.waiting {
         let fits = |seat: &&mut Seat<'_>| {
-            claim.fits(&seat.open()) && has_turn(step, &counts, &seat.report.name)
+            (with_slower || !seat.slower)
+                && claim.fits(&seat.open())
+                && has_turn(step, &counts, &seat.report.name)
         };
         let avoided = failed_at(step, *task);
         let best = seats.iter_mut().filter(fits).min_by_key(|seat| {
--- a/crates/hg_policy/src/workflow/reclaim.rs
+++ b/crates/hg_policy/src/workflow/reclaim.rs
@@ -9,13 +9,16 @@
 use hg_ledger::{RunRef, WorkflowLedger};
 use hg_model::{Footprint, StepId, TaskId, Time, UpstreamName};
 
-use super::placement::{has_turn, running_counts, scopes};
+use super::placement::{Scope, has_turn, running_counts, scopes};
 use super::ready::ReadyStep;
 use super::room_map::RoomMap;
 
 /// What a stop costs even if all progress is saved, in milliseconds of the task: it has to be loaded again.
 const RESUME_COST_MS: u64 = 600;
 
+/// What running far from the best rack costs, in run times of the step.
+const FAR_COST: u64 = 2;
+
 /// Work that stops as one.
 #[derive(Debug)]
 struct Unit {
@@ -106,7 +109,7 @@
 /// Places all waiting tasks in a scope, stopping units where free room does not do.
 fn plan(
     step: &ReadyStep<'_>,
-    scope: &[&UpstreamName],
+    scope: &Scope<'_>,
     room: &RoomMap<'_>,
     units: &[Unit],
 ) -> Option<(u64, Clearance)> {
@@ -116,13 +119,20 @@
     let mut chosen: BTreeSet<usize> = BTreeSet::new();
     let mut placements = BTreeMap::new();
     let mut total = 0;
+    // A slower member costs all others a share of their time; far members cost far more.
+    let work = step.spec.estimate_ms.saturating_mul(step.spec.each.weight());
+    let slower_cost = if step.spec.gang { work } else { 0 };
+    if !scope.is_near {
+        total += work.saturating_mul(u64::from(step.spec.tasks) * FAR_COST);
+    }
     let by_upstream = units_by_upstream(units);
     for task in &step.waiting {
-        let open = scope.iter().filter(|name| has_turn(step, &counts, name));
+        let open = scope.names.iter().filter(|name| has_turn(step, &counts, name));
         let options = open.filter_map(|name| {
             let (cost, evict) = eviction(name, &claim, &room, units, &by_upstream, &chosen)?;
-            let left = room.seats.get(*name)?.open().accelerators;
-            Some((cost, left, *name, evict))
+            let seat = room.seats.get(*name)?;
+            let cost = cost + if seat.slower { slower_cost } else { 0 };
+            Some((cost, seat.open().accelerators, *name, evict))
         });
         let (cost, _, name, evict) =
             options.min_by_key(|(cost, left, name, _)| (*cost, *left, *name))?;
--- a/crates/hg_policy/src/workflow/room_map.rs
+++ b/crates/hg_policy/src/workflow/room_map.rs
@@ -15,6 +15,8 @@
     pub(crate) free: Footprint,
     /// What is held for steps whose room is being cleared; it may be more than what is free yet.
     pub(crate) held: Footprint,
+    /// Whether it is slower than usual.
+    pub(crate) slower: bool,
 }
 
 impl Seat<'_> {
@@ -42,11 +44,26 @@
         let usable = |report: &&UpstreamReport| !report.leaving && fleet.is_usable(&report.name);
         let seat = |report: &'a UpstreamReport| {
             let free = report.capacity.minus(&ledger.occupancy().used(&report.name));
-            (&report.name, Seat { report, free, held: Footprint::default() })
+            (&report.name, Seat { report, free, held: Footprint::default(), slower: false })
         };
         Self { seats: ledger.upstreams().values().filter(usable).map(seat).collect() }
     }
 
+    /// Takes upstreams out of this round.
+    pub(crate) fn drop_all<'b>(&mut self, names: impl Iterator<Item = &'b UpstreamName>) {
+        for name in names {
+            self.seats.remove(name);
+        }
+    }
+
+    pub(crate) fn mark_slower<'b>(&mut self, names: impl Iterator<Item = &'b UpstreamName>) {
+        for name in names {
+            if let Some(seat) = self.seats.get_mut(name) {
+                seat.slower = true;
+            }
+        }
+    }
+
     pub(crate) fn take(&mut self, upstream: &UpstreamName, claim: &Footprint) {
         if let Some(seat) = self.seats.get_mut(upstream) {
             seat.free = seat.free.minus(claim);
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use hg_ledger::{RunRef, RunStart, TaskState, WorkflowLedger};
-use hg_model::{EndKind, Footprint, JobId, StepId, TaskId, Time, UpstreamName};
+use hg_model::{EndKind, Footprint, JobId, ListedRun, StepId, TaskId, Time, UpstreamName};
 
 use super::Fleet;
 use super::placement::place;
 use super::ready::{ReadyStep, ready_steps};
 use super::reclaim::clear_for;
 use super::room_map::{RoomMap, Seat};
+use super::speed::SpeedBook;
 use crate::{Health, HealthState};
 
 /// How long room is held for an urgent step while work is being stopped for it; a stop takes well under
@@ -44,6 +45,7 @@
     held: BTreeMap<StepId, HeldRoom>,
     stopping: BTreeSet<RunRef>,
     health: Health,
+    speeds: SpeedBook,
 }
 
 /// Queries.
@@ -75,6 +77,24 @@
     /// A run is over, however it ended.
     pub fn note_closed(&mut self, run: &RunRef) {
         self.stopping.remove(run);
+        self.speeds.forget(run);
+    }
+
+    /// An upstream listed what runs there.
+    pub fn note_listing(
+        &mut self,
+        now: Time,
+        ledger: &WorkflowLedger,
+        upstream: &UpstreamName,
+        running: &[ListedRun],
+    ) {
+        for listed in running {
+            let step = &listed.task.step;
+            let at = usize::try_from(step.step).ok();
+            let spec = ledger.job(&step.job).and_then(|job| job.spec.steps.get(at?));
+            let estimate_ms = spec.map_or(0, |spec| spec.estimate_ms);
+            self.speeds.note(now, upstream, listed, estimate_ms);
+        }
     }
 
     /// Decides what starts and stops at `now`.
@@ -86,7 +106,10 @@
     ) -> WorkflowDecisions {
         let mut decisions = WorkflowDecisions::default();
         self.stop_remains(ledger, &mut decisions);
+        self.stop_stragglers(now, ledger, &mut decisions);
         let mut room = RoomMap::new(ledger, fleet);
+        room.drop_all(self.speeds.too_slow(now));
+        room.mark_slower(self.speeds.slower(now));
         let ready = ready_steps(now, ledger);
         self.drop_stale_holds(now, &ready, &room);
         for held in self.held.values() {
@@ -119,6 +142,20 @@
         }
     }
 
+    /// Stops what would end sooner elsewhere; the members of a gang go together.
+    fn stop_stragglers(
+        &mut self,
+        now: Time,
+        ledger: &WorkflowLedger,
+        decisions: &mut WorkflowDecisions,
+    ) {
+        for run in self.speeds.stragglers(now, ledger) {
+            if self.stopping.insert(run.clone()) {
+                decisions.stops.push(run);
+            }
+        }
+    }
+
     fn drop_stale_holds(&mut self, now: Time, ready: &[ReadyStep<'_>], room: &RoomMap<'_>) {
         let waiting: BTreeSet<&StepId> = ready.iter().map(|step| &step.id).collect();
         self.held.retain(|step, held| {
--- /dev/null
+++ b/crates/hg_policy/src/workflow/speed.rs
@@ -0,0 +1,182 @@
+//! How fast upstreams work, learned from the progress of what runs there.
+//!
+//! Answers the load in which some upstreams are slower than others, for good or for some seconds, and some
+//! stand still: a gang is as fast as its slowest member. The members of a gang have equal work, so the
+//! pace of each against the fastest tells the upstreams apart, whatever the caller estimated.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hg_ledger::{RunRef, WorkflowLedger};
+use hg_model::{ListedRun, RunNumber, StepId, TaskId, Time, UpstreamName};
+
+/// Progress is compared over at least this much of a task, in percent: less drowns in rounding.
+const PROGRESS_LEAST: u32 = 8;
+/// A task whose progress has not changed for this long may stand still: less is lost between two listings.
+const STALL_LEAST: Duration = Duration::from_millis(1_500);
+/// It does if it should have made this much progress meanwhile by its caller's estimate, in percent.
+const STALL_PERCENT: u64 = 10;
+/// The slowness of an upstream on which a task stands still.
+const STALLED: f64 = 20.0;
+/// How much the newest observation counts against those before it.
+const WEIGHT: f64 = 0.5;
+/// An upstream's slowness is forgotten after this long without an observation; trouble passes.
+const MEMORY: Duration = Duration::from_secs(8);
+/// Upstreams slower than the usual one by this factor get no new work while others have room.
+const TOO_SLOW: f64 = 2.5;
+/// Upstreams slower than the usual one by this factor are the second choice for gangs.
+const SLOWER: f64 = 1.15;
+/// Starting again must end sooner than going on by this factor, since estimates err.
+const RESTART_GAIN: f64 = 1.5;
+
+#[derive(Debug, Clone, Copy)]
+struct Track {
+    run: RunNumber,
+    first: (u32, Time),
+    last: (u32, Time),
+}
+
+impl Track {
+    /// Percent a millisecond, once enough was seen.
+    fn pace(&self) -> Option<f64> {
+        let (done, from) = self.first;
+        let (now_done, to) = self.last;
+        let span = to.since(from).as_millis();
+        let progress = now_done.saturating_sub(done);
+        (progress >= PROGRESS_LEAST && span > 0).then(|| f64::from(progress) / span as f64)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Slowness {
+    factor: f64,
+    at: Time,
+}
+
+/// The paces of runs and what they tell of the upstreams.
+#[derive(Debug, Default)]
+pub(crate) struct SpeedBook {
+    tracks: BTreeMap<TaskId, Track>,
+    upstreams: BTreeMap<UpstreamName, Slowness>,
+}
+
+/// Queries.
+impl SpeedBook {
+    fn slowness(&self, now: Time, upstream: &UpstreamName) -> f64 {
+        let known = self.upstreams.get(upstream).filter(|s| now < s.at.after(MEMORY));
+        known.map_or(1.0, |s| s.factor)
+    }
+
+    /// The slowness that half of the upstreams do not exceed.
+    fn usual(&self, now: Time) -> f64 {
+        let known = self.upstreams.values().filter(|s| now < s.at.after(MEMORY));
+        let mut factors: Vec<f64> = known.map(|s| s.factor).collect();
+        factors.sort_by(f64::total_cmp);
+        factors.get(factors.len().saturating_sub(1) / 2).copied().unwrap_or(1.0)
+    }
+
+    /// Upstreams that get no new work while others have room.
+    pub(crate) fn too_slow(&self, now: Time) -> impl Iterator<Item = &UpstreamName> {
+        let limit = self.usual(now) * TOO_SLOW;
+        let slow = move |name: &&UpstreamName| self.slowness(now, name) >= limit;
+        self.upstreams.keys().filter(slow)
+    }
+
+    /// Upstreams that are the second choice for gangs.
+    pub(crate) fn slower(&self, now: Time) -> impl Iterator<Item = &UpstreamName> {
+        let limit = self.usual(now) * SLOWER;
+        let slow = move |name: &&UpstreamName| self.slowness(now, name) > limit;
+        self.upstreams.keys().filter(slow)
+    }
+
+    /// Runs on slow upstreams that would end sooner if they started again elsewhere.
+    pub(crate) fn stragglers(&self, now: Time, ledger: &WorkflowLedger) -> Vec<RunRef> {
+        let usual = self.usual(now);
+        let mut stragglers = Vec::new();
+        for upstream in self.too_slow(now) {
+            let factor = self.slowness(now, upstream) / usual;
+            for (task, open) in ledger.occupancy().runs(upstream) {
+                let track = self.tracks.get(task).filter(|track| track.run == open.run);
+                if track.is_some_and(|track| is_worth_restart(ledger, task, track, factor)) {
+                    let (upstream, task) = (upstream.clone(), task.clone());
+                    stragglers.push(RunRef { upstream, task, run: open.run });
+                }
+            }
+        }
+        stragglers
+    }
+}
+
+/// Commands.
+impl SpeedBook {
+    /// An upstream listed a run.
+    ///
+    /// `estimate_ms` is its caller's guess of the run time; 0 if there is none.
+    pub(crate) fn note(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamName,
+        listed: &ListedRun,
+        estimate_ms: u64,
+    ) {
+        let seen = (listed.percent, now);
+        let fresh = Track { run: listed.run, first: seen, last: seen };
+        let track = self.tracks.entry(listed.task.clone()).or_insert(fresh);
+        if track.run != listed.run || listed.percent < track.last.0 {
+            *track = fresh;
+        }
+        // Before the first progress a task may wait for others, or load.
+        if track.first.0 == 0 && listed.percent > 0 {
+            track.first = seen;
+        }
+        let (percent, at) = track.last;
+        if listed.percent > percent {
+            track.last = seen;
+        } else if percent > 0 && percent < 100 && is_stalled(now, at, estimate_ms) {
+            self.upstreams.insert(upstream.clone(), Slowness { factor: STALLED, at: now });
+            return;
+        }
+        self.compare(now, upstream, &listed.task);
+    }
+
+    /// A run is over.
+    pub(crate) fn forget(&mut self, run: &RunRef) {
+        self.tracks.remove(&run.task);
+    }
+
+    /// Holds a run's pace against the fastest of its step.
+    fn compare(&mut self, now: Time, upstream: &UpstreamName, task: &TaskId) {
+        let Some(own) = self.tracks.get(task) else { return };
+        let (run, Some(pace)) = (own.run, own.pace()) else { return };
+        let siblings = self.tracks.range(step_range(&task.step)).map(|(_, track)| track);
+        let paces = siblings.filter(|track| track.run == run).filter_map(Track::pace);
+        let (count, fastest) = paces.fold((0, 0.0_f64), |(n, max), pace| (n + 1, max.max(pace)));
+        if count < 2 {
+            return;
+        }
+        let seen = (fastest / pace).max(1.0);
+        let before = self.upstreams.get(upstream).filter(|s| now < s.at.after(MEMORY));
+        let factor = before.map_or(seen, |s| s.factor + (seen - s.factor) * WEIGHT);
+        self.upstreams.insert(upstream.clone(), Slowness { factor, at: now });
+    }
+}
+
+fn is_stalled(now: Time, since: Time, estimate_ms: u64) -> bool {
+    let usual = Duration::from_millis(estimate_ms * STALL_PERCENT / 100);
+    estimate_ms > 0 && now >= since.after(usual.max(STALL_LEAST))
+}
+
+fn step_range(step: &StepId) -> std::ops::RangeInclusive<TaskId> {
+    let at = |index| TaskId { step: step.clone(), index };
+    at(0)..=at(u32::MAX)
+}
+
+/// Whether what is left here takes longer than all that is not saved takes elsewhere.
+fn is_worth_restart(ledger: &WorkflowLedger, task: &TaskId, track: &Track, factor: f64) -> bool {
+    let Some(job) = ledger.job(&task.step.job) else { return false };
+    let spec = usize::try_from(task.step.step).ok().and_then(|at| job.spec.steps.get(at));
+    let Some(spec) = spec.filter(|spec| !spec.lasting) else { return false };
+    let left = f64::from(100 - track.last.0.min(100)) / 100.0;
+    let again = if spec.checkpointable { left } else { 1.0 };
+    left * factor > again * RESTART_GAIN
+}
--- a/crates/hg_policy/tests/workflow_rounds.rs
+++ b/crates/hg_policy/tests/workflow_rounds.rs
@@ -2,7 +2,8 @@
 
 mod workflow_support;
 
-use hg_model::{EndKind, Footprint, StepSpec, WorkflowState};
+use hg_ledger::RunRef;
+use hg_model::{EndKind, Footprint, ListedRun, StepSpec, WorkflowState};
 use workflow_support::{Bench, run_of};
 
 const WHOLE: Footprint = Footprint::new(8, 8_000, 16_384);
@@ -117,3 +118,81 @@
     bench.end(&run_of(&last[0]), EndKind::Done);
     assert_eq!(bench.state("chain"), Some(WorkflowState::Completed));
 }
+
+/// Shows the scheduler how far every run of a step is.
+fn list(bench: &mut Bench, runs: &[RunRef], percent: impl Fn(&RunRef) -> u32) {
+    for run in runs {
+        let listed = ListedRun {
+            task: run.task.clone(),
+            run: run.run,
+            checkpoint: None,
+            percent: percent(run),
+            gauge: None,
+        };
+        bench.scheduler.note_listing(bench.now, &bench.ledger, &run.upstream, &[listed]);
+    }
+}
+
+#[test]
+fn gang_on_an_upstream_that_slows_down_starts_again_elsewhere() {
+    let mut bench = Bench::new(1, 4);
+    bench.submit("gang", 1, vec![urgent_gang(3)]);
+    let runs: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    let slow = runs[2].upstream.clone();
+    list(&mut bench, &runs, |_| 1);
+    bench.round(400);
+    list(&mut bench, &runs, |run| if run.upstream == slow { 3 } else { 17 });
+    assert!(bench.round(0).stops.is_empty(), "too little was seen to tell");
+    bench.round(800);
+    list(&mut bench, &runs, |run| if run.upstream == slow { 9 } else { 50 });
+    let stops = bench.round(0).stops;
+    assert_eq!(stops, vec![runs[2].clone()]);
+    for run in &runs {
+        bench.end(run, EndKind::Stopped);
+    }
+    let again = bench.round(10).starts;
+    assert_eq!(again.len(), 3);
+    assert!(again.iter().all(|start| start.upstream != slow));
+}
+
+#[test]
+fn gang_with_a_member_that_stands_still_starts_again() {
+    let mut bench = Bench::new(1, 4);
+    bench.submit("gang", 1, vec![urgent_gang(3)]);
+    let runs: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    list(&mut bench, &runs, |_| 5);
+    bench.round(1_600);
+    let stuck = runs[0].upstream.clone();
+    list(&mut bench, &runs, |run| if run.upstream == stuck { 5 } else { 60 });
+    assert_eq!(bench.round(0).stops, vec![runs[0].clone()]);
+}
+
+#[test]
+fn long_task_is_not_taken_for_one_that_stands_still() {
+    let mut bench = Bench::new(1, 2);
+    let hours = StepSpec { estimate_ms: 4 * 3_600_000, ..StepSpec::new(1, SINGLE) };
+    bench.submit("long", 1, vec![hours]);
+    let runs: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    list(&mut bench, &runs, |_| 5);
+    bench.round(120_000);
+    list(&mut bench, &runs, |_| 5);
+    assert!(bench.round(0).stops.is_empty());
+}
+
+#[test]
+fn gang_goes_without_slower_upstreams_where_it_can() {
+    let mut bench = Bench::new(1, 4);
+    bench.submit("first", 1, vec![urgent_gang(4)]);
+    let runs: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    let slower = runs[1].upstream.clone();
+    list(&mut bench, &runs, |_| 1);
+    bench.round(1_000);
+    list(&mut bench, &runs, |run| if run.upstream == slower { 31 } else { 41 });
+    for run in &runs {
+        bench.end(run, EndKind::Done);
+    }
+    bench.submit("second", 1, vec![urgent_gang(3)]);
+    let starts = bench.round(10).starts;
+    assert_eq!(starts.len(), 3);
+    assert!(starts.iter().all(|start| start.upstream != slower));
+}
