--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -14,6 +14,10 @@
 pub(super) const SUSPECT: Duration = Duration::from_millis(2_000);
 /// After this a proposal is made again that was not applied; a quorum takes a few disk writes for one.
 const PROPOSE_AGAIN: Duration = Duration::from_millis(1_000);
+/// Pause before an order is sent again to an upstream that left one unanswered; doubled each time.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// The pause does not grow beyond this: an upstream that is back should be heard within a second.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
 /// How long after a listing its ends may be acknowledged: less than a host takes to start again.
 const ACKNOWLEDGE_WITHIN: Duration = Duration::from_millis(1_000);
 /// Added to a lease's end before it counts as over, for the way and for rounding.
@@ -125,6 +129,10 @@
     pub(super) listed_at: Option<Time>,
     /// When ends were proposed that are not in the log yet.
     pub(super) noting: Option<Time>,
+    /// How many orders in a row it left unanswered.
+    silences: u32,
+    /// No order is sent again before then.
+    pub(super) retry_at: Time,
     /// It gets no new work before then.
     pub(super) suspect_until: Time,
     pub(super) runs: BTreeMap<TaskId, RunSession>,
@@ -153,6 +161,8 @@
             telling: 0,
             listed_at: None,
             noting: None,
+            silences: 0,
+            retry_at: Time(0),
             suspect_until: Time(0),
             runs: BTreeMap::new(),
         }
@@ -205,10 +215,28 @@
 
     /// It left an order unanswered: perhaps its life is over.
     pub(super) fn note_silence(&mut self, now: Time) {
+        let pause = RETRY_PAUSE * 2_u32.saturating_pow(self.silences);
+        self.silences += 1;
+        self.retry_at = now.after(pause.min(RETRY_PAUSE_MAX));
         self.suspect_until = now.after(SUSPECT);
         self.listed_at = None;
     }
 
+    /// It answered an order.
+    pub(super) const fn note_answer(&mut self) {
+        self.silences = 0;
+        self.retry_at = Time(0);
+        self.suspect_until = Time(0);
+    }
+
+    /// The reading up to which a renewal extends the lease.
+    ///
+    /// An order without an answer may have been carried out all the same. So while it is silent no lease
+    /// is extended, or those that it may hold would never be over.
+    pub(super) fn renewal(&mut self, now: Time, ms: u64) -> Option<ClockReading> {
+        if self.silences > 0 { None } else { self.grant(now, ms) }
+    }
+
     /// Which ends may be acknowledged now; 0 for none.
     ///
     /// Each life counts its ends anew, so a number must not reach a later life under the same name:
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -267,6 +267,8 @@
             let lapsed = over && run.may_be_there();
             if never_sent || lapsed {
                 lost.push(self.give_up(session, &task, &run));
+            } else if self.now < session.retry_at {
+                // It left an order unanswered just now.
             } else if run.stop == StopStage::Wanted {
                 let kind = OrderKind::Stop { task: task.clone(), run: run.run };
                 let id = self.order(session, kind, ANSWER_LIMIT);
@@ -319,7 +321,7 @@
         }
         let wait =
             if session.unseen || session.runs.is_empty() { Duration::ZERO } else { LISTING_WAIT };
-        let lease_until = session.grant(self.now, lease_max_ms);
+        let lease_until = session.renewal(self.now, lease_max_ms);
         let acknowledged = session.acknowledgement(self.now);
         session.telling = acknowledged;
         let kind = OrderKind::Renew { lease_until, acknowledged, wait };
@@ -370,7 +372,7 @@
         }
         _ => {
             session.note_silence(now);
-            session.renew_at = now.after(LISTING_PAUSE);
+            session.renew_at = now;
         }
     }
 }
@@ -385,7 +387,7 @@
 ) {
     session.note_clock(now, listing.clock);
     session.unseen = false;
-    session.suspect_until = Time(0);
+    session.note_answer();
     session.told = session.told.max(session.telling);
     session.listed_at = Some(now);
     let fresh: Vec<RunEnd> =
@@ -465,7 +467,7 @@
     };
     if let Some(clock) = clock {
         session.note_clock(now, clock);
-        session.suspect_until = Time(0);
+        session.note_answer();
     }
     let Some(run) = session.runs.get_mut(task) else { return };
     match result {
