Process tests of the programs on the platform; a silent voter gives way as soon as another host has caught up

control_host_is_replaced_at_another_address failed first: the new host got its vote beside the lost one, so for five seconds the group of four could not bear a second loss. A voter that is silent for four election times now gives way once another host has caught up, and before that one gets its vote.

--- a/crates/hg_control/src/drive.rs
+++ b/crates/hg_control/src/drive.rs
@@ -176,6 +176,9 @@
         let status = self.core.status();
         let now = self.clock.now();
         metrics::gauge!("hg_control_term").set(status.term.0 as f64);
+        let votes = status.configuration.is_voter(&status.id);
+        metrics::gauge!("hg_control_votes").set(f64::from(u8::from(votes)));
+        metrics::gauge!("hg_control_voters").set(status.configuration.voters().count() as f64);
         metrics::gauge!("hg_control_commit").set(status.commit.0 as f64);
         metrics::gauge!("hg_control_log_entries").set(status.log_entries as f64);
         metrics::gauge!("hg_control_leads").set(f64::from(u8::from(self.core.may_decide(now))));
--- a/crates/hg_replica/src/leading.rs
+++ b/crates/hg_replica/src/leading.rs
@@ -10,7 +10,7 @@
 /// More voters make each commit dearer and bear losses that are not promised.
 const VOTERS_MAX: usize = 5;
 /// A voter counts as gone after this many election times without an answer.
-const SILENT_ELECTIONS: u32 = 8;
+const SILENT_ELECTIONS: u32 = 4;
 
 impl Replica {
     pub(crate) fn append(&mut self, payload: Payload) -> Index {
@@ -176,12 +176,14 @@
             let matched = leader.progress.get(id).map(|p| p.matched);
             !peer.voter && matched.is_some_and(|m| m >= self.commit && m > Index(0))
         });
-        let wants_voter =
-            configuration.voters().count() < VOTERS_MAX || self.silent_voter(now).is_some();
-        let caught_up = caught_up.filter(|_| wants_voter);
+        // A silent voter gives way first, so that the group never has to bear two more losses at once.
+        let replaced = caught_up.and_then(|_| self.silent_voter(now));
+        let caught_up = caught_up.filter(|_| configuration.voters().count() < VOTERS_MAX);
         let joiner = leader.joiners.iter().find(|(id, _)| !configuration.peers.contains_key(id));
         let mut next = configuration.clone();
-        if let Some((id, _)) = caught_up {
+        if let Some(gone) = replaced {
+            next.peers.remove(&gone);
+        } else if let Some((id, _)) = caught_up {
             if let Some(peer) = next.peers.get_mut(id) {
                 peer.voter = true;
             }
