--- a/crates/hg_control/src/workflow/lead.rs
+++ b/crates/hg_control/src/workflow/lead.rs
@@ -4,7 +4,7 @@
 
 use hg_ledger::{Command, WorkflowCommand, WorkflowEffect};
 use hg_model::{Term, Time};
-use hg_policy::WorkflowScheduler;
+use hg_policy::{RunStop, WorkflowScheduler};
 use hg_replica::Disk;
 use slog::{info, warn};
 
@@ -96,9 +96,9 @@
         let aside = ledger.upstreams().keys().filter(|name| lead.scheduler.is_aside(now, name));
         fleet.shunned.extend(aside.cloned());
         let decisions = lead.scheduler.decide(now, ledger, &fleet);
-        for run in &decisions.stops {
+        for RunStop { run, reason } in &decisions.stops {
             info!(self.log, "workflow: stops run"; "event" => "run.stop", "task" => %run.task,
-                "run" => run.run.0, "upstream" => %run.upstream);
+                "run" => run.run.0, "upstream" => %run.upstream, "reason" => %reason);
             lead.sessions.stop_run(run);
         }
         if !decisions.starts.is_empty() {
--- a/crates/hg_policy/src/lib.rs
+++ b/crates/hg_policy/src/lib.rs
@@ -39,4 +39,6 @@
 pub use room::Room;
 pub use scheduler::{Abort, Decisions, Refusal, Scheduler, Shortage};
 pub use wait::WaitReason;
-pub use workflow::{Fleet, Rejection, WorkflowDecisions, WorkflowScheduler, admit};
+pub use workflow::{
+    Fleet, Rejection, RunStop, StopReason, WorkflowDecisions, WorkflowScheduler, admit,
+};
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -20,4 +20,4 @@
 
 pub use admission::{Rejection, admit};
 pub use fleet::Fleet;
-pub use scheduler::{WorkflowDecisions, WorkflowScheduler};
+pub use scheduler::{RunStop, StopReason, WorkflowDecisions, WorkflowScheduler};
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -35,8 +35,10 @@
 ) -> BTreeMap<u32, UpstreamName> {
     let scopes = scopes(now, step, room);
     let mut best = BTreeMap::new();
+    // Single tasks are as well off on slower upstreams and leave the others to gangs.
+    let passes: &[bool] = if step.spec.gang { &[false, true] } else { &[true] };
     for is_near in [true, false] {
-        for with_slower in [false, true] {
+        for with_slower in passes.iter().copied() {
             for scope in scopes.iter().filter(|scope| scope.is_near == is_near) {
                 let placed = fill(step, &scope.names, room, with_slower);
                 if placed.len() == step.waiting.len() {
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use derive_more::Display;
 use hg_ledger::{RunRef, RunStart, TaskState, WorkflowLedger};
 use hg_model::{EndKind, Footprint, JobId, ListedRun, StepId, TaskId, Time, UpstreamName};
 
@@ -22,13 +23,36 @@
 /// How long it is put aside at first; doubled each time.
 const ASIDE: Duration = Duration::from_secs(4);
 
+/// Why a run is stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum StopReason {
+    /// Its job is over, or its gang lost a member.
+    #[display("no use any more")]
+    Unwanted,
+    /// It would end sooner on a faster upstream.
+    #[display("slow upstream")]
+    Straggler,
+    /// An urgent step needs its room.
+    #[display("room for an urgent step")]
+    Reclaimed,
+}
+
+/// A run to stop.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunStop {
+    /// The run.
+    pub run: RunRef,
+    /// Why.
+    pub reason: StopReason,
+}
+
 /// What is to be done.
 #[derive(Debug, Default)]
 pub struct WorkflowDecisions {
     /// Tasks to start, to be logged before they are ordered.
     pub starts: Vec<RunStart>,
     /// Runs to stop.
-    pub stops: Vec<RunRef>,
+    pub stops: Vec<RunStop>,
 }
 
 /// Room that is being cleared for an urgent step.
@@ -135,13 +159,17 @@
                     continue;
                 }
                 let run = RunRef { upstream: upstream.clone(), task: task.clone(), run: open.run };
-                if self.stopping.insert(run.clone()) {
-                    decisions.stops.push(run);
-                }
+                self.stop(run, StopReason::Unwanted, decisions);
             }
         }
     }
 
+    fn stop(&mut self, run: RunRef, reason: StopReason, decisions: &mut WorkflowDecisions) {
+        if self.stopping.insert(run.clone()) {
+            decisions.stops.push(RunStop { run, reason });
+        }
+    }
+
     /// Stops what would end sooner elsewhere; the members of a gang go together.
     fn stop_stragglers(
         &mut self,
@@ -150,9 +178,7 @@
         decisions: &mut WorkflowDecisions,
     ) {
         for run in self.speeds.stragglers(now, ledger) {
-            if self.stopping.insert(run.clone()) {
-                decisions.stops.push(run);
-            }
+            self.stop(run, StopReason::Straggler, decisions);
         }
     }
 
@@ -224,9 +250,7 @@
             room.hold(upstream, &claim);
         }
         for run in clearance.stops {
-            if self.stopping.insert(run.clone()) {
-                decisions.stops.push(run);
-            }
+            self.stop(run, StopReason::Reclaimed, decisions);
         }
         let until = now.after(HOLD_LIMIT);
         let held = HeldRoom { placements: clearance.placements, claim, until };
--- a/crates/hg_policy/src/workflow/speed.rs
+++ b/crates/hg_policy/src/workflow/speed.rs
@@ -130,9 +130,11 @@
             track.first = seen;
         }
         let (percent, at) = track.last;
+        // One that was resumed shows its saved progress while it loads and waits for its gang.
+        let was_at_work = percent > track.first.0 && percent < 100;
         if listed.percent > percent {
             track.last = seen;
-        } else if percent > 0 && percent < 100 && is_stalled(now, at, estimate_ms) {
+        } else if was_at_work && is_stalled(now, at, estimate_ms) {
             self.upstreams.insert(upstream.clone(), Slowness { factor: STALLED, at: now });
             return;
         }
