--- a/crates/hg_control/src/workflow/lead.rs
+++ b/crates/hg_control/src/workflow/lead.rs
@@ -68,7 +68,7 @@
         let Some(lead) = self.workflows.as_mut() else { return };
         if let OrderResult::Listed(listing) = &report.result {
             let ledger = self.ledger.workflows();
-            lead.scheduler.note_listing(now, ledger, &report.upstream, &listing.running);
+            lead.scheduler.note_listing(now, ledger, &report.upstream, listing);
         }
         let mut work = Work::default();
         lead.sessions.on_report(now, report, &mut work);
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -5,7 +5,7 @@
 
 use derive_more::Display;
 use hg_ledger::{RunRef, RunStart, TaskState, WorkflowLedger};
-use hg_model::{EndKind, Footprint, JobId, ListedRun, StepId, TaskId, Time, UpstreamName};
+use hg_model::{EndKind, Footprint, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
 
 use super::Fleet;
 use super::placement::place;
@@ -110,14 +110,14 @@
         now: Time,
         ledger: &WorkflowLedger,
         upstream: &UpstreamName,
-        running: &[ListedRun],
+        listing: &RunListing,
     ) {
-        for listed in running {
+        for listed in &listing.running {
             let step = &listed.task.step;
             let at = usize::try_from(step.step).ok();
             let spec = ledger.job(&step.job).and_then(|job| job.spec.steps.get(at?));
             let estimate_ms = spec.map_or(0, |spec| spec.estimate_ms);
-            self.speeds.note(now, upstream, listed, estimate_ms);
+            self.speeds.note(now, upstream, listing.clock, listed, estimate_ms);
         }
     }
 
--- a/crates/hg_policy/src/workflow/speed.rs
+++ b/crates/hg_policy/src/workflow/speed.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use hg_ledger::{RunRef, WorkflowLedger};
-use hg_model::{ListedRun, RunNumber, StepId, TaskId, Time, UpstreamName};
+use hg_model::{ClockReading, ListedRun, RunNumber, StepId, TaskId, Time, UpstreamName};
 
 /// Progress is compared over at least this much of a task, in percent: less drowns in rounding.
-const PROGRESS_LEAST: u32 = 8;
+const PROGRESS_LEAST: u32 = 12;
 /// A task whose progress has not changed for this long may stand still: less is lost between two listings.
-const STALL_LEAST: Duration = Duration::from_millis(1_500);
+const STALL_LEAST_MS: u64 = 1_500;
 /// It does if it should have made this much progress meanwhile by its caller's estimate, in percent.
 const STALL_PERCENT: u64 = 10;
 /// The slowness of an upstream on which a task stands still.
@@ -32,8 +32,9 @@
 #[derive(Debug, Clone, Copy)]
 struct Track {
     run: RunNumber,
-    first: (u32, Time),
-    last: (u32, Time),
+    /// Percent done, and the upstream's clock then: an answer may wait before it is taken in.
+    first: (u32, ClockReading),
+    last: (u32, ClockReading),
 }
 
 impl Track {
@@ -41,7 +42,7 @@
     fn pace(&self) -> Option<f64> {
         let (done, from) = self.first;
         let (now_done, to) = self.last;
-        let span = to.since(from).as_millis();
+        let span = to.0.saturating_sub(from.0);
         let progress = now_done.saturating_sub(done);
         (progress >= PROGRESS_LEAST && span > 0).then(|| f64::from(progress) / span as f64)
     }
@@ -116,10 +117,11 @@
         &mut self,
         now: Time,
         upstream: &UpstreamName,
+        clock: ClockReading,
         listed: &ListedRun,
         estimate_ms: u64,
     ) {
-        let seen = (listed.percent, now);
+        let seen = (listed.percent, clock);
         let fresh = Track { run: listed.run, first: seen, last: seen };
         let track = self.tracks.entry(listed.task.clone()).or_insert(fresh);
         if track.run != listed.run || listed.percent < track.last.0 {
@@ -134,7 +136,7 @@
         let was_at_work = percent > track.first.0 && percent < 100;
         if listed.percent > percent {
             track.last = seen;
-        } else if was_at_work && is_stalled(now, at, estimate_ms) {
+        } else if was_at_work && is_stalled(clock, at, estimate_ms) {
             self.upstreams.insert(upstream.clone(), Slowness { factor: STALLED, at: now });
             return;
         }
@@ -163,9 +165,9 @@
     }
 }
 
-fn is_stalled(now: Time, since: Time, estimate_ms: u64) -> bool {
-    let usual = Duration::from_millis(estimate_ms * STALL_PERCENT / 100);
-    estimate_ms > 0 && now >= since.after(usual.max(STALL_LEAST))
+fn is_stalled(now: ClockReading, since: ClockReading, estimate_ms: u64) -> bool {
+    let usual_ms = estimate_ms * STALL_PERCENT / 100;
+    estimate_ms > 0 && now.0.saturating_sub(since.0) >= usual_ms.max(STALL_LEAST_MS)
 }
 
 fn step_range(step: &StepId) -> std::ops::RangeInclusive<TaskId> {
