--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -2,10 +2,13 @@
 //!
 //! * [`Order`] and [`OrderResult`] cross the [`UpstreamDriver`], which speaks an upstream's protocol.
 //! * `Session` follows one life of one upstream: its clock, its leases, what it was ordered.
-//! * `Sessions` holds all of them and turns what is due into orders and log entries.
+//! * `Sessions` holds all of them; `dispatch` turns what is due into orders, `reports` takes in what
+//!   comes of them.
 
+mod dispatch;
 mod lead;
 mod order;
+mod reports;
 mod request;
 mod session;
 mod sessions;
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hg_model::{Checkpoint, ClockReading, Incarnation, RunNumber, TaskId, Time};
+use hg_ledger::LostRun;
+use hg_model::{Checkpoint, ClockReading, Incarnation, RunNumber, TaskId, Time, UpstreamName};
 
 use super::OrderId;
 
@@ -96,6 +97,16 @@
         self.losing = Some(now);
     }
 
+    /// The run, as it is given up.
+    pub(super) fn lost(&self, task: &TaskId, upstream: &UpstreamName) -> LostRun {
+        LostRun {
+            task: task.clone(),
+            run: self.run,
+            upstream: upstream.clone(),
+            checkpoint: self.checkpoint.clone(),
+        }
+    }
+
     /// Whether the upstream was told of it, in this lead or perhaps in an earlier one.
     pub(super) fn may_be_there(&self) -> bool {
         self.in_doubt || self.start != StartStage::Unsent
@@ -136,6 +147,8 @@
     /// It gets no new work before then.
     pub(super) suspect_until: Time,
     pub(super) runs: BTreeMap<TaskId, RunSession>,
+    /// What was listed as running and is not open, such as a start that was carried out late.
+    pub(super) strays: BTreeMap<TaskId, RunNumber>,
 }
 
 impl Session {
@@ -165,6 +178,7 @@
             retry_at: Time(0),
             suspect_until: Time(0),
             runs: BTreeMap::new(),
+            strays: BTreeMap::new(),
         }
     }
 
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -51,6 +51,8 @@
     }
     let unfinished = world.unfinished();
     assert!(unfinished.is_empty(), "not ended after {SETTLE_MS} ms: {unfinished:?}");
+    world.run(LAST_LEASE_MS);
+    assert_eq!(world.running(), 0, "nothing runs of workflows that have ended");
     assert_eq!(world.wasted(), wasted, "no work is lost when nothing goes wrong");
 }
 
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -167,6 +167,11 @@
         }
     }
 
+    /// How many runs are in progress.
+    pub fn running(&self) -> usize {
+        self.upstreams.values().map(|upstream| upstream.all_runs().len()).sum()
+    }
+
     /// How many runs lost their lease or did work again that was done.
     pub const fn wasted(&self) -> u32 {
         self.oracle.wasted
