Work moves off leaving upstreams; guarantees beat urgent work beyond them; saved progress outlives its upstream

Urgent steps also count room that is being cleared already before they stop more.

Tests that failed first: work_that_*, saved_progress_of_a_lost_upstream_is_kept, guaranteed_work_*, urgent_waits_for_room_that_is_being_cleared_rather_than_stopping_more. Not measured on the sites yet.

--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -36,9 +36,8 @@
             session.renew_at = now.after(LISTING_WAIT);
         }
         OrderResult::OtherIncarnation => {
-            let (name, incarnation) = (name.clone(), session.incarnation);
             session.renew_at = now.after(SUSPECT);
-            work.commands.push(WorkflowCommand::Deregister { name, incarnation, at: now });
+            work.commands.push(session.departure(now, name));
         }
         _ => {
             session.note_silence(now);
@@ -159,9 +158,8 @@
             }
         }
         OrderResult::OtherIncarnation => {
-            let (name, incarnation) = (name.clone(), session.incarnation);
-            work.commands.push(WorkflowCommand::Deregister { name, incarnation, at: now });
             retry(run, id);
+            work.commands.push(session.departure(now, name));
         }
         OrderResult::Fenced | OrderResult::Listed(_) => retry(run, id),
         OrderResult::Unanswered(_) => {
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -5,7 +5,7 @@
 use hg_ledger::{Command, Terms, WorkflowCommand};
 use hg_link::{CallerAsk, CallerCall, Reply, WorkflowReply, WorkflowRequest};
 use hg_model::{
-    Catalog, ClockReading, Incarnation, JobId, QueueSpec, Time, UpstreamName, UpstreamReport,
+    Catalog, Incarnation, JobId, QueueSpec, Time, UpstreamName, UpstreamReport, VitalSigns,
     WorkflowSpec, WorkflowState,
 };
 use hg_policy::admit;
@@ -44,8 +44,8 @@
             WorkflowRequest::Call(call) => self.on_call(now, ticket, call),
             WorkflowRequest::PutCatalog(catalog) => self.on_put_catalog(now, ticket, catalog),
             WorkflowRequest::GetCatalog => Some(self.catalog_reply()),
-            WorkflowRequest::Heartbeat { report, clock } => {
-                self.on_heartbeat(now, ticket, report, clock)
+            WorkflowRequest::Heartbeat { report, signs } => {
+                self.on_heartbeat(now, ticket, report, signs)
             }
             WorkflowRequest::Leave { name, incarnation } => {
                 self.on_leave(now, ticket, name, incarnation)
@@ -187,14 +187,14 @@
         now: Time,
         ticket: Ticket,
         report: UpstreamReport,
-        clock: Option<ClockReading>,
+        signs: VitalSigns,
     ) -> Option<WorkflowReply> {
         let (name, incarnation) = (report.name.clone(), report.incarnation);
         let lead = self.workflows.as_mut()?;
         if lead.sessions.has_departed(&name, incarnation) {
             return Some(WorkflowReply::Noted);
         }
-        lead.sessions.note_heartbeat(now, &name, incarnation, clock);
+        lead.sessions.note_heartbeat(now, &name, incarnation, signs);
         let workflows = self.ledger.workflows();
         let known = workflows.upstreams().get(&name);
         if known.is_some_and(|known| *known == report || known.incarnation > incarnation) {
@@ -207,8 +207,7 @@
                 // A word that was held up from a life that is over.
                 return Some(WorkflowReply::Noted);
             }
-            let (name, incarnation) = (other.name.clone(), other.incarnation);
-            let command = WorkflowCommand::Deregister { name, incarnation, at: now };
+            let command = lead.sessions.departure(now, &other.name, other.incarnation);
             self.propose(now, Command::Workflow(command), Purpose::Kept);
         }
         self.ask_workflow(now, ticket, WorkflowCommand::Register(report), WorkflowReplyKind::Noted)
@@ -225,8 +224,7 @@
         let Some(known) = known.filter(|k| incarnation.is_none_or(|i| i == k.incarnation)) else {
             return Some(WorkflowReply::Noted);
         };
-        let incarnation = known.incarnation;
-        let command = WorkflowCommand::Deregister { name, incarnation, at: now };
+        let command = self.workflows.as_ref()?.sessions.departure(now, &name, known.incarnation);
         self.ask_workflow(now, ticket, command, WorkflowReplyKind::Noted)
     }
 
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hg_ledger::LostRun;
+use hg_ledger::{LostRun, SavedProgress, WorkflowCommand};
 use hg_model::{Checkpoint, ClockReading, Incarnation, RunNumber, TaskId, Time, UpstreamName};
 
 use super::OrderId;
@@ -146,6 +146,8 @@
     pub(super) retry_at: Time,
     /// It gets no new work before then.
     pub(super) suspect_until: Time,
+    /// When it goes at the earliest, once it has said that it leaves.
+    pub(super) leaves_at: Option<Time>,
     pub(super) runs: BTreeMap<TaskId, RunSession>,
     /// What was listed as running and is not open, such as a start that was carried out late.
     pub(super) strays: BTreeMap<TaskId, RunNumber>,
@@ -177,11 +179,37 @@
             silences: 0,
             retry_at: Time(0),
             suspect_until: Time(0),
+            leaves_at: None,
             runs: BTreeMap::new(),
             strays: BTreeMap::new(),
         }
     }
 
+    /// It said how much longer it stays; later words only put the end further off.
+    pub(super) fn note_stay(&mut self, now: Time, stays_ms: Option<u64>) {
+        let leaves_at = stays_ms.map(|ms| now.after(Duration::from_millis(ms)));
+        self.leaves_at = self.leaves_at.max(leaves_at);
+    }
+
+    /// The last progress of a run that was seen to be saved.
+    pub(super) fn saved(&self, task: &TaskId, run: RunNumber) -> Option<&Checkpoint> {
+        self.runs.get(task).filter(|known| known.run == run)?.checkpoint.as_ref()
+    }
+
+    /// The command that notes the end of this life, with what it is known to have saved.
+    pub(super) fn departure(&self, now: Time, name: &UpstreamName) -> WorkflowCommand {
+        let saved = self.runs.iter().filter_map(|(task, run)| {
+            let checkpoint = run.checkpoint.clone()?;
+            Some(SavedProgress { task: task.clone(), run: run.run, checkpoint })
+        });
+        WorkflowCommand::Deregister {
+            name: name.clone(),
+            incarnation: self.incarnation,
+            saved: saved.collect(),
+            at: now,
+        }
+    }
+
     /// Whether its clock is known.
     pub(super) const fn has_clock(&self) -> bool {
         self.clock.is_some()
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hg_ledger::{OpenRun, RunRef, WorkflowCommand, WorkflowLedger};
-use hg_model::{ClockReading, Incarnation, Term, Time, UpstreamName, UpstreamReport};
+use hg_model::{ClockReading, Incarnation, Term, Time, UpstreamName, UpstreamReport, VitalSigns};
 use hg_policy::Fleet;
 
 use super::dispatch::Dispatch;
@@ -51,7 +51,28 @@
                 || !session.has_clock()
         };
         let shunned = self.sessions.iter().filter(|(_, s)| is_shunned(s));
-        Fleet { shunned: shunned.map(|(name, _)| name.clone()).collect(), ..Fleet::default() }
+        let leaving = self.sessions.iter().filter_map(|(n, s)| Some((n.clone(), s.leaves_at?)));
+        Fleet {
+            shunned: shunned.map(|(name, _)| name.clone()).collect(),
+            leaving: leaving.collect(),
+        }
+    }
+
+    /// The command that notes the end of an upstream's life, with what it is known to have saved.
+    pub(crate) fn departure(
+        &self,
+        now: Time,
+        name: &UpstreamName,
+        incarnation: Incarnation,
+    ) -> WorkflowCommand {
+        let session = self.sessions.get(name).filter(|s| s.incarnation == incarnation);
+        match session {
+            Some(session) => session.departure(now, name),
+            None => {
+                let (name, saved) = (name.clone(), Vec::new());
+                WorkflowCommand::Deregister { name, incarnation, saved, at: now }
+            }
+        }
     }
 
     /// Whether a life of an upstream is known to be over.
@@ -89,13 +110,16 @@
             return;
         }
         let mut session = Session::new(now, report.incarnation, report.address, self.lease_max_ms);
+        let earlier = self.sessions.get(&report.name);
         if let Some((life, clock, at)) = self.early_clocks.remove(&report.name)
             && life == report.incarnation
         {
             session.note_clock(at, clock);
         }
         for (task, open) in ledger.occupancy().runs(&report.name) {
-            session.runs.insert(task.clone(), inherited(open, report.incarnation));
+            let mut run = inherited(open, report.incarnation);
+            run.checkpoint = earlier.and_then(|earlier| earlier.saved(task, open.run)).cloned();
+            session.runs.insert(task.clone(), run);
         }
         self.sessions.insert(report.name.clone(), session);
     }
@@ -156,15 +180,16 @@
         now: Time,
         name: &UpstreamName,
         incarnation: Incarnation,
-        clock: Option<ClockReading>,
+        signs: VitalSigns,
     ) {
         let known = self.sessions.get_mut(name);
         if let Some(session) = known.filter(|s| s.incarnation == incarnation) {
             session.heard = now;
-            if let Some(clock) = clock {
+            if let Some(clock) = signs.clock {
                 session.note_clock(now, clock);
             }
-        } else if let Some(clock) = clock {
+            session.note_stay(now, signs.stays_ms);
+        } else if let Some(clock) = signs.clock {
             self.early_clocks.insert(name.clone(), (incarnation, clock, now));
         }
     }
@@ -179,8 +204,7 @@
             at.renewal(session, self.lease_max_ms);
             if now >= session.heard.after(FORGET_AFTER) && session.runs.is_empty() {
                 session.heard = now;
-                let (name, incarnation) = (name.clone(), session.incarnation);
-                work.commands.push(WorkflowCommand::Deregister { name, incarnation, at: now });
+                work.commands.push(session.departure(now, name));
             }
         }
         if !lost.is_empty() {
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -12,7 +12,7 @@
 use hg_model::{
     Catalog, DataCentreName, EndKind, Footprint, HostName, Incarnation, JobId, Label, PoolName,
     PoolSpec, QueueName, QueueSpec, RackName, RunNumber, StepId, StepSpec, TaskId, Term, Time,
-    UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
+    UpstreamName, UpstreamReport, VitalSigns, WorkflowSpec, WorkflowState,
 };
 use hg_policy::PolicyConfig;
 use hg_replica::{Body, Configuration, Index, Message, Peer, ReplicaId, Snapshot, Storage, Timing};
@@ -385,7 +385,8 @@
         let heard = self.upstreams.values().filter(|upstream| !upstream.cut);
         let beats: Vec<_> = heard.map(|u| (report(u), u.clock(self.now))).collect();
         for (report, clock) in beats {
-            self.ask(None, WorkflowRequest::Heartbeat { report, clock: Some(clock) });
+            let signs = VitalSigns { clock: Some(clock), stays_ms: None };
+            self.ask(None, WorkflowRequest::Heartbeat { report, signs });
         }
     }
 
@@ -531,6 +532,7 @@
         name: upstream.name.clone(),
         incarnation: upstream.incarnation,
         address: format!("127.0.0.1:{}", 9_000 + number).parse().expect("an address"),
+        host: None,
         pool: PoolName::new("pool").expect("a good name"),
         data_centre: DataCentreName::new("north").expect("a good name"),
         rack: RackName::new(&rack).expect("a good name"),
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -34,6 +34,17 @@
     pub checkpoint: Option<Checkpoint>,
 }
 
+/// Saved progress of a run whose upstream is gone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SavedProgress {
+    /// The task.
+    pub task: TaskId,
+    /// Which start of it.
+    pub run: RunNumber,
+    /// What was saved.
+    pub checkpoint: Checkpoint,
+}
+
 /// A change to the record of workflows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -93,6 +104,8 @@
         name: UpstreamName,
         /// Which life of it.
         incarnation: Incarnation,
+        /// The last progress of its runs that was seen to be saved.
+        saved: Vec<SavedProgress>,
         /// When.
         at: Time,
     },
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    EndedWorkflow, LostRun, Occupancy, Occurrence, OpenRun, Phase, RunRef, RunStart, StepRecord,
-    TaskState, Terms, Workflow, WorkflowCommand, WorkflowEffect,
+    EndedWorkflow, LostRun, Occupancy, Occurrence, OpenRun, Phase, RunRef, RunStart, SavedProgress,
+    StepRecord, TaskState, Terms, Workflow, WorkflowCommand, WorkflowEffect,
 };
 
 /// Most workflows in their final state that are remembered.
@@ -100,8 +100,8 @@
                 }
             }
             WorkflowCommand::Register(report) => self.register(report, &mut effects),
-            WorkflowCommand::Deregister { name, incarnation, at } => {
-                self.deregister(&name, incarnation, at, &mut effects);
+            WorkflowCommand::Deregister { name, incarnation, saved, at } => {
+                self.deregister(&name, incarnation, &saved, at, &mut effects);
             }
             WorkflowCommand::Forget { before } => self.forget(before),
         }
@@ -366,12 +366,15 @@
         &mut self,
         name: &UpstreamName,
         incarnation: Incarnation,
+        saved: &[SavedProgress],
         at: Time,
         effects: &mut Vec<WorkflowEffect>,
     ) {
         if self.upstreams.get(name).is_none_or(|known| known.incarnation != incarnation) {
             return;
         }
+        let saved: BTreeMap<(&TaskId, RunNumber), &Checkpoint> =
+            saved.iter().map(|s| ((&s.task, s.run), &s.checkpoint)).collect();
         let lost: Vec<LostRun> = self
             .occupancy
             .runs(name)
@@ -379,7 +382,7 @@
                 task: task.clone(),
                 run: open.run,
                 upstream: name.clone(),
-                checkpoint: None,
+                checkpoint: saved.get(&(task, open.run)).map(|found| (*found).clone()),
             })
             .collect();
         for run in lost {
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -6,7 +6,7 @@
 mod occupancy;
 mod record;
 
-pub use command::{LostRun, RunStart, WorkflowCommand};
+pub use command::{LostRun, RunStart, SavedProgress, WorkflowCommand};
 pub use effect::{RunRef, WorkflowEffect};
 pub use ledger::WorkflowLedger;
 pub use occupancy::{Occupancy, OpenRun};
--- a/crates/hg_link/src/workflow.rs
+++ b/crates/hg_link/src/workflow.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use hg_model::{
-    Catalog, ClockReading, Incarnation, UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
+    Catalog, Incarnation, UpstreamName, UpstreamReport, VitalSigns, WorkflowSpec, WorkflowState,
 };
 use serde::{Deserialize, Serialize};
 
@@ -60,8 +60,8 @@
     Heartbeat {
         /// What it says of itself.
         report: UpstreamReport,
-        /// Its clock when it spoke.
-        clock: Option<ClockReading>,
+        /// What is new each time.
+        signs: VitalSigns,
     },
     /// An upstream ends.
     Leave {
--- a/crates/hg_model/src/lib.rs
+++ b/crates/hg_model/src/lib.rs
@@ -45,6 +45,6 @@
 pub use workflow::{
     AdviceTerms, Catalog, CatalogFault, Checkpoint, ClientAccount, ClockReading, EndKind,
     Footprint, Incarnation, ListedRun, PoolSpec, QueueSpec, Route, RunEnd, RunListing, RunNumber,
-    Schedule, StepId, StepSpec, TargetSpec, TaskId, TaskIdError, UpstreamReport, WorkflowFault,
-    WorkflowSpec, WorkflowState,
+    Schedule, StepId, StepSpec, TargetSpec, TaskId, TaskIdError, UpstreamReport, VitalSigns,
+    WorkflowFault, WorkflowSpec, WorkflowState,
 };
--- a/crates/hg_model/src/workflow/mod.rs
+++ b/crates/hg_model/src/workflow/mod.rs
@@ -17,7 +17,7 @@
 pub use catalog::{Catalog, CatalogFault, ClientAccount, PoolSpec, Route};
 pub use footprint::Footprint;
 pub use queue::{AdviceTerms, QueueSpec};
-pub use report::{ClockReading, UpstreamReport};
+pub use report::{ClockReading, UpstreamReport, VitalSigns};
 pub use run::{EndKind, ListedRun, RunEnd, RunListing};
 pub use state::WorkflowState;
 pub use step::{Schedule, StepSpec, TargetSpec, WorkflowFault, WorkflowSpec};
--- a/crates/hg_model/src/workflow/report.rs
+++ b/crates/hg_model/src/workflow/report.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Footprint, Incarnation};
-use crate::{DataCentreName, Label, PoolName, RackName, UpstreamName};
+use crate::{DataCentreName, HostName, Label, PoolName, RackName, UpstreamName};
 
 /// An upstream's announcement; its heartbeats repeat it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +17,8 @@
     pub incarnation: Incarnation,
     /// Where it takes orders.
     pub address: SocketAddr,
+    /// The physical host that this is a life of, if it says so; pools and upkeep go by hosts.
+    pub host: Option<HostName>,
     /// The pool it belongs to.
     pub pool: PoolName,
     /// Where it stands.
@@ -38,6 +40,15 @@
     }
 }
 
+/// What each heartbeat says anew; none of it is worth a place in the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VitalSigns {
+    /// Its clock when it spoke.
+    pub clock: Option<ClockReading>,
+    /// How much longer it stays at least once it is leaving, in milliseconds.
+    pub stays_ms: Option<u64>,
+}
+
 /// A reading of an upstream's own steady clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- /dev/null
+++ b/crates/hg_policy/src/workflow/guarantee.rs
@@ -0,0 +1,44 @@
+//! Which urgent workflows are covered by their account's guarantee.
+//!
+//! Answers the load in which one account floods the pool with urgent work: what other accounts are guaranteed
+//! must begin within its bound all the same, so it goes first and may take room from the flood.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hg_ledger::{Workflow, WorkflowLedger};
+use hg_model::{AccountName, JobId};
+
+/// The urgent workflows that fit into their account's guarantee together, the earliest first.
+pub(crate) fn covered_jobs(ledger: &WorkflowLedger) -> BTreeSet<JobId> {
+    let Some(catalog) = ledger.catalog() else { return BTreeSet::new() };
+    let mut urgent: BTreeMap<&AccountName, Vec<(&JobId, &Workflow)>> = BTreeMap::new();
+    for (id, job) in ledger.jobs().iter().filter(|(_, job)| is_urgent(job)) {
+        if let Some(account) = &job.account {
+            urgent.entry(account).or_default().push((id, job));
+        }
+    }
+    let mut covered = BTreeSet::new();
+    for account in &catalog.accounts {
+        let Some(jobs) = urgent.get_mut(&account.name) else { continue };
+        jobs.sort_by_key(|(id, job)| (job.accepted_at, *id));
+        let mut left = u64::from(account.guaranteed_accelerators);
+        for (id, job) in jobs {
+            let need = need(job);
+            if need <= left && account.guaranteed_accelerators > 0 {
+                left -= need;
+                covered.insert((*id).clone());
+            }
+        }
+    }
+    covered
+}
+
+fn is_urgent(job: &Workflow) -> bool {
+    job.terms.priority == 0 && job.is_active()
+}
+
+/// The accelerators of the widest step.
+fn need(job: &Workflow) -> u64 {
+    let of = |step: &hg_model::StepSpec| u64::from(step.tasks) * u64::from(step.each.accelerators);
+    job.spec.steps.iter().map(of).max().unwrap_or(0)
+}
--- a/crates/hg_policy/src/workflow/ready.rs
+++ b/crates/hg_policy/src/workflow/ready.rs
@@ -4,6 +4,7 @@
 //! objective goes before work that can only be late, and that before work that earns nothing any more.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hg_ledger::{Occurrence, StepRecord, TaskState, Workflow, WorkflowLedger};
@@ -27,6 +28,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
     priority: u32,
+    /// Urgent work that its account's guarantee does not cover goes after what is covered.
+    is_uncovered: bool,
     outlook: Outlook,
     deadline: Time,
 }
@@ -51,6 +54,11 @@
         self.job.terms.priority == 0
     }
 
+    /// Whether its account's guarantee covers it.
+    pub(crate) const fn is_covered(&self) -> bool {
+        self.is_urgent() && !self.rank.is_uncovered
+    }
+
     /// The number of a task's next run; a gang shares one.
     pub(crate) fn next_run(&self, task: u32) -> RunNumber {
         let Some(record) = self.record else { return RunNumber(1) };
@@ -63,11 +71,15 @@
 }
 
 /// All steps with tasks that may start at `now`, in the order in which they are served.
-pub(crate) fn ready_steps(now: Time, ledger: &WorkflowLedger) -> Vec<ReadyStep<'_>> {
+pub(crate) fn ready_steps<'a>(
+    now: Time,
+    ledger: &'a WorkflowLedger,
+    covered: &BTreeSet<JobId>,
+) -> Vec<ReadyStep<'a>> {
     let mut ready = Vec::new();
     for (id, job) in ledger.jobs() {
         if job.is_active() {
-            collect(now, id, job, &mut ready);
+            collect(now, id, job, covered.contains(id), &mut ready);
         }
     }
     ready.sort_by(|a, b| {
@@ -76,7 +88,13 @@
     ready
 }
 
-fn collect<'a>(now: Time, id: &JobId, job: &'a Workflow, ready: &mut Vec<ReadyStep<'a>>) {
+fn collect<'a>(
+    now: Time,
+    id: &JobId,
+    job: &'a Workflow,
+    is_covered: bool,
+    ready: &mut Vec<ReadyStep<'a>>,
+) {
     for number in 0..job.spec.occurrences() {
         let due = match job.spec.schedule {
             Some(schedule) => Time(schedule.due_ms(number)),
@@ -89,7 +107,7 @@
             continue;
         }
         let begun = job.occurrence(number);
-        let rank = rank(now, job, due);
+        let rank = rank(now, job, due, is_covered);
         for (step, spec) in (0_u32..).zip(&job.spec.steps) {
             let waiting = waiting_tasks(spec, step, begun);
             if waiting.is_empty() {
@@ -119,7 +137,7 @@
     tasks.filter(|(_, task)| task.is_waiting()).map(|(index, _)| index).collect()
 }
 
-fn rank(now: Time, job: &Workflow, due: Time) -> Rank {
+fn rank(now: Time, job: &Workflow, due: Time, is_covered: bool) -> Rank {
     let chain_ms = job.spec.estimated_chain_ms();
     let stretched = chain_ms.saturating_mul(u64::from(job.terms.stretch_milli)) / 1_000;
     let objective_ms = stretched.saturating_add(job.terms.objective_ms);
@@ -132,5 +150,7 @@
     } else {
         Outlook::Overdue
     };
-    Rank { priority: job.terms.priority, outlook, deadline: after(objective_ms) }
+    let priority = job.terms.priority;
+    let is_uncovered = priority == 0 && !is_covered;
+    Rank { priority, is_uncovered, outlook, deadline: after(objective_ms) }
 }
--- a/crates/hg_policy/src/workflow/reclaim.rs
+++ b/crates/hg_policy/src/workflow/reclaim.rs
@@ -3,11 +3,13 @@
 //! Answers the load in which the pool is full when an urgent job comes: it must begin within its bound.
 //! Work is chosen by what its stop throws away: little for tasks whose progress can be saved, else all
 //! that was done since the start. A gang counts as a whole, since none of it goes on without the rest.
+//! What an account is guaranteed may also take room from urgent work that no guarantee covers.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use hg_ledger::{RunRef, WorkflowLedger};
-use hg_model::{Footprint, StepId, TaskId, Time, UpstreamName};
+use hg_model::{Footprint, JobId, StepId, TaskId, Time, UpstreamName};
 
 use super::placement::{Scope, has_turn, running_counts, scopes};
 use super::ready::ReadyStep;
@@ -16,6 +18,9 @@
 /// What a stop costs even if all progress is saved, in milliseconds of the task: it has to be loaded again.
 const RESUME_COST_MS: u64 = 600;
 
+/// Room of a run that is being stopped counts as nearly free for this long: a stop takes half a second at most.
+const STOP_LIMIT: Duration = Duration::from_millis(800);
+
 /// What running far from the best rack costs, in run times of the step.
 const FAR_COST: u64 = 2;
 
@@ -41,31 +46,39 @@
     step: &ReadyStep<'_>,
     room: &RoomMap<'_>,
     ledger: &WorkflowLedger,
-    stopping: &BTreeSet<RunRef>,
+    stopping: &BTreeMap<RunRef, Time>,
+    covered: &BTreeSet<JobId>,
 ) -> Option<Clearance> {
-    let units = units(now, step, ledger, stopping);
+    let units = units(now, step, ledger, stopping, covered);
     let plans =
         scopes(now, step, room).into_iter().filter_map(|scope| plan(step, &scope, room, &units));
     let (_, clearance) = plans.min_by_key(|(cost, _)| *cost)?;
     Some(clearance)
 }
 
-/// Everything of lower priority that may be stopped.
+/// Everything that may be stopped for a step.
 fn units(
     now: Time,
     step: &ReadyStep<'_>,
     ledger: &WorkflowLedger,
-    stopping: &BTreeSet<RunRef>,
+    stopping: &BTreeMap<RunRef, Time>,
+    covered: &BTreeSet<JobId>,
 ) -> Vec<Unit> {
     let mut gangs: BTreeMap<StepId, Unit> = BTreeMap::new();
     let mut units = Vec::new();
     for upstream in ledger.occupancy().upstreams() {
         for (task, open) in ledger.occupancy().runs(upstream) {
             let at = RunRef { upstream: upstream.clone(), task: task.clone(), run: open.run };
-            let Some(cost) = stop_cost(now, step, ledger, task, open.since) else { continue };
-            if stopping.contains(&at) {
+            if let Some(since) = stopping.get(&at) {
+                if now < since.after(STOP_LIMIT) {
+                    units.push(Unit { runs: vec![(at, open.claim)], cost: 0 });
+                }
                 continue;
             }
+            let yields = yields_to(step, ledger, task, covered);
+            let Some(cost) = stop_cost(now, ledger, task, open.since).filter(|_| yields) else {
+                continue;
+            };
             let run = (at, open.claim);
             if is_gang(ledger, &task.step) {
                 let unit = gangs.entry(task.step.clone());
@@ -81,18 +94,23 @@
     units
 }
 
-/// What stopping a run throws away, in thousandths of a core times milliseconds; `None` if it must go on.
-fn stop_cost(
-    now: Time,
+/// Whether a run may be stopped for a step.
+fn yields_to(
     step: &ReadyStep<'_>,
     ledger: &WorkflowLedger,
     task: &TaskId,
-    since: Time,
-) -> Option<u64> {
+    covered: &BTreeSet<JobId>,
+) -> bool {
+    let Some(job) = ledger.job(&task.step.job).filter(|job| job.is_active()) else { return false };
+    let is_uncovered = job.terms.priority == 0 && !covered.contains(&task.step.job);
+    job.terms.priority > step.job.terms.priority || (step.is_covered() && is_uncovered)
+}
+
+/// What stopping a run throws away, in thousandths of a core times milliseconds; `None` if it must go on.
+fn stop_cost(now: Time, ledger: &WorkflowLedger, task: &TaskId, since: Time) -> Option<u64> {
     let job = ledger.job(&task.step.job)?;
     let spec = job.spec.steps.get(usize::try_from(task.step.step).ok()?)?;
-    let yields = job.is_active() && job.terms.priority > step.job.terms.priority && !spec.lasting;
-    if !yields {
+    if spec.lasting {
         return None;
     }
     let elapsed = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -8,6 +8,8 @@
 use hg_model::{EndKind, Footprint, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
 
 use super::Fleet;
+use super::evacuate::evacuations;
+use super::guarantee::covered_jobs;
 use super::placement::place;
 use super::ready::{ReadyStep, ready_steps};
 use super::reclaim::clear_for;
@@ -32,6 +34,9 @@
     /// It would end sooner on a faster upstream.
     #[display("slow upstream")]
     Straggler,
+    /// Its upstream leaves before it could end.
+    #[display("upstream leaves")]
+    Evacuated,
     /// An urgent step needs its room.
     #[display("room for an urgent step")]
     Reclaimed,
@@ -67,7 +72,8 @@
 #[derive(Debug, Default)]
 pub struct WorkflowScheduler {
     held: BTreeMap<StepId, HeldRoom>,
-    stopping: BTreeSet<RunRef>,
+    /// Runs whose stop was decided, and when.
+    stopping: BTreeMap<RunRef, Time>,
     health: Health,
     speeds: SpeedBook,
 }
@@ -129,12 +135,16 @@
         fleet: &Fleet,
     ) -> WorkflowDecisions {
         let mut decisions = WorkflowDecisions::default();
-        self.stop_remains(ledger, &mut decisions);
+        self.stop_remains(now, ledger, &mut decisions);
         self.stop_stragglers(now, ledger, &mut decisions);
+        for run in evacuations(now, ledger, fleet, &self.speeds) {
+            self.stop(now, run, StopReason::Evacuated, &mut decisions);
+        }
         let mut room = RoomMap::new(ledger, fleet);
         room.drop_all(self.speeds.too_slow(now));
         room.mark_slower(self.speeds.slower(now));
-        let ready = ready_steps(now, ledger);
+        let covered = covered_jobs(ledger);
+        let ready = ready_steps(now, ledger, &covered);
         self.drop_stale_holds(now, &ready, &room);
         for held in self.held.values() {
             for upstream in held.placements.values() {
@@ -145,27 +155,39 @@
             if self.held.contains_key(&step.id) {
                 self.start_held(step, ledger, &mut room, &mut decisions);
             } else {
-                self.serve(now, step, ledger, &mut room, &mut decisions);
+                self.serve(now, step, ledger, &covered, &mut room, &mut decisions);
             }
         }
         decisions
     }
 
     /// Stops what still runs of jobs that are over, and of gangs that lost a member.
-    fn stop_remains(&mut self, ledger: &WorkflowLedger, decisions: &mut WorkflowDecisions) {
+    fn stop_remains(
+        &mut self,
+        now: Time,
+        ledger: &WorkflowLedger,
+        decisions: &mut WorkflowDecisions,
+    ) {
         for upstream in ledger.occupancy().upstreams() {
             for (task, open) in ledger.occupancy().runs(upstream) {
                 if !is_unwanted(ledger, task) {
                     continue;
                 }
                 let run = RunRef { upstream: upstream.clone(), task: task.clone(), run: open.run };
-                self.stop(run, StopReason::Unwanted, decisions);
+                self.stop(now, run, StopReason::Unwanted, decisions);
             }
         }
     }
 
-    fn stop(&mut self, run: RunRef, reason: StopReason, decisions: &mut WorkflowDecisions) {
-        if self.stopping.insert(run.clone()) {
+    fn stop(
+        &mut self,
+        now: Time,
+        run: RunRef,
+        reason: StopReason,
+        decisions: &mut WorkflowDecisions,
+    ) {
+        if !self.stopping.contains_key(&run) {
+            self.stopping.insert(run.clone(), now);
             decisions.stops.push(RunStop { run, reason });
         }
     }
@@ -178,7 +200,7 @@
         decisions: &mut WorkflowDecisions,
     ) {
         for run in self.speeds.stragglers(now, ledger) {
-            self.stop(run, StopReason::Straggler, decisions);
+            self.stop(now, run, StopReason::Straggler, decisions);
         }
     }
 
@@ -232,6 +254,7 @@
         now: Time,
         step: &ReadyStep<'_>,
         ledger: &WorkflowLedger,
+        covered: &BTreeSet<JobId>,
         room: &mut RoomMap<'_>,
         decisions: &mut WorkflowDecisions,
     ) {
@@ -241,7 +264,11 @@
             start(step, &placed, ledger, room, decisions);
             return;
         }
-        let Some(clearance) = clear_for(now, step, room, ledger, &self.stopping) else {
+        let mut clearance = clear_for(now, step, room, ledger, &self.stopping, covered);
+        if clearance.is_none() && step.is_covered() && self.give_up_holds(covered, room) {
+            clearance = clear_for(now, step, room, ledger, &self.stopping, covered);
+        }
+        let Some(clearance) = clearance else {
             start(step, &placed, ledger, room, decisions);
             return;
         };
@@ -250,7 +277,7 @@
             room.hold(upstream, &claim);
         }
         for run in clearance.stops {
-            self.stop(run, StopReason::Reclaimed, decisions);
+            self.stop(now, run, StopReason::Reclaimed, decisions);
         }
         let until = now.after(HOLD_LIMIT);
         let held = HeldRoom { placements: clearance.placements, claim, until };
@@ -258,6 +285,23 @@
     }
 }
 
+impl WorkflowScheduler {
+    /// Gives up the room held for urgent steps that no guarantee covers. Returns whether there was any.
+    fn give_up_holds(&mut self, covered: &BTreeSet<JobId>, room: &mut RoomMap<'_>) -> bool {
+        let before = self.held.len();
+        self.held.retain(|step, held| {
+            let keeps = covered.contains(&step.job);
+            if !keeps {
+                for upstream in held.placements.values() {
+                    room.unhold(upstream, &held.claim);
+                }
+            }
+            keeps
+        });
+        self.held.len() < before
+    }
+}
+
 fn start(
     step: &ReadyStep<'_>,
     placed: &BTreeMap<u32, UpstreamName>,
--- a/crates/hg_policy/src/workflow/speed.rs
+++ b/crates/hg_policy/src/workflow/speed.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hg_ledger::{RunRef, WorkflowLedger};
+use hg_ledger::{OpenRun, RunRef, WorkflowLedger};
 use hg_model::{ClockReading, ListedRun, RunNumber, StepId, TaskId, Time, UpstreamName};
 
 /// Progress is compared over at least this much of a task, in percent: less drowns in rounding.
@@ -90,6 +90,23 @@
         self.upstreams.keys().filter(slow)
     }
 
+    /// How much longer a run takes where it is, by its own pace or else by its caller's estimate.
+    pub(crate) fn time_left(
+        &self,
+        now: Time,
+        task: &TaskId,
+        open: &OpenRun,
+        estimate_ms: u64,
+    ) -> Duration {
+        let track = self.tracks.get(task).filter(|track| track.run == open.run);
+        let by_pace = track.and_then(|track| {
+            let left = f64::from(100 - track.last.0.min(100));
+            Some(Duration::from_secs_f64(left / track.pace()? / 1_000.0))
+        });
+        let estimate = Duration::from_millis(estimate_ms);
+        by_pace.unwrap_or_else(|| estimate.saturating_sub(now.since(open.since)))
+    }
+
     /// Runs on slow upstreams that would end sooner if they started again elsewhere.
     pub(crate) fn stragglers(&self, now: Time, ledger: &WorkflowLedger) -> Vec<RunRef> {
         let usual = self.usual(now);
--- a/crates/hg_policy/tests/workflow_rounds.rs
+++ b/crates/hg_policy/tests/workflow_rounds.rs
@@ -2,12 +2,13 @@
 
 mod workflow_support;
 
-use hg_ledger::RunRef;
+use hg_ledger::{RunRef, SavedProgress, WorkflowCommand};
 use hg_model::{
-    ClockReading, EndKind, Footprint, Incarnation, ListedRun, RunListing, StepSpec, WorkflowState,
+    Checkpoint, ClockReading, EndKind, Footprint, Incarnation, ListedRun, RunListing, StepSpec,
+    Time, WorkflowState,
 };
 use hg_policy::WorkflowDecisions;
-use workflow_support::{Bench, run_of};
+use workflow_support::{Bench, job, run_of, upstream};
 
 const WHOLE: Footprint = Footprint::new(8, 8_000, 16_384);
 const SINGLE: Footprint = Footprint::new(1, 2_800, 8_200);
@@ -222,3 +223,142 @@
     assert_eq!(starts.len(), 3);
     assert!(starts.iter().all(|start| start.upstream != slower));
 }
+
+/// `u0` says that it stays for `ms`.
+fn leaves_in(bench: &mut Bench, ms: u64) {
+    let at = Time(bench.now.0 + ms);
+    bench.fleet.leaving.insert(upstream(0), at);
+}
+
+#[test]
+fn work_that_cannot_end_before_its_upstream_leaves_goes_at_once() {
+    let mut bench = Bench::new(1, 1);
+    bench.submit("sweep", 2, vec![patient(1)]);
+    let run = run_of(&bench.round(0).starts[0]);
+    leaves_in(&mut bench, 4_000);
+    assert_eq!(stopped(bench.round(10)), vec![run]);
+}
+
+#[test]
+fn work_that_saves_its_progress_goes_at_the_last_moment() {
+    let mut bench = Bench::new(1, 1);
+    bench.submit("sweep", 2, vec![StepSpec { checkpointable: true, ..patient(1) }]);
+    let run = run_of(&bench.round(0).starts[0]);
+    leaves_in(&mut bench, 4_000);
+    assert!(bench.round(10).stops.is_empty(), "it works on meanwhile");
+    assert_eq!(stopped(bench.round(3_000)), vec![run]);
+}
+
+#[test]
+fn work_that_ends_before_its_upstream_leaves_stays() {
+    let mut bench = Bench::new(1, 1);
+    bench.submit("sweep", 2, vec![patient(1)]);
+    let runs = vec![run_of(&bench.round(0).starts[0])];
+    list(&mut bench, &runs, |_| 1);
+    bench.round(1_000);
+    list(&mut bench, &runs, |_| 81);
+    leaves_in(&mut bench, 500);
+    assert!(bench.round(10).stops.is_empty());
+}
+
+#[test]
+fn saved_progress_of_a_lost_upstream_is_kept() {
+    let mut bench = Bench::new(1, 2);
+    bench.submit("sweep", 2, vec![StepSpec { checkpointable: true, ..patient(1) }]);
+    let run = run_of(&bench.round(0).starts[0]);
+    let checkpoint = Checkpoint::new("half").expect("not empty");
+    let saved = SavedProgress { task: run.task.clone(), run: run.run, checkpoint };
+    let (name, incarnation, at) = (run.upstream.clone(), Incarnation(1), bench.now);
+    let gone = WorkflowCommand::Deregister { name, incarnation, saved: vec![saved.clone()], at };
+    bench.apply(gone);
+    let job = bench.ledger.job(&run.task.step.job).expect("it goes on");
+    let task = &job.occurrence(0).expect("it has begun").steps[0].tasks[0];
+    assert_eq!(task.checkpoint.as_ref(), Some(&saved.checkpoint));
+}
+
+/// The pool is full of one account's urgent work, of which its guarantee covers half.
+fn flooded() -> (Bench, Vec<RunRef>) {
+    let mut bench = Bench::new(1, 4);
+    bench.guarantee(&[("flood", 16), ("other", 16)]);
+    for number in 0..4 {
+        bench.submit_for("flood", &format!("flood-{number}"), 0, vec![urgent_gang(1)]);
+        bench.round(1);
+    }
+    let running = bench.ledger.occupancy().upstreams().cloned().collect::<Vec<_>>();
+    assert_eq!(running.len(), 4, "the pool is full");
+    let runs = running.iter().flat_map(|upstream| {
+        bench.ledger.occupancy().runs(upstream).map(|(task, open)| RunRef {
+            upstream: upstream.clone(),
+            task: task.clone(),
+            run: open.run,
+        })
+    });
+    let runs = runs.collect();
+    (bench, runs)
+}
+
+#[test]
+fn guaranteed_work_takes_room_from_urgent_work_beyond_a_guarantee() {
+    let (mut bench, runs) = flooded();
+    bench.submit_for("other", "claim", 0, vec![urgent_gang(2)]);
+    let stops = stopped(bench.round(10));
+    let of_flood = |stop: &RunRef| ["flood-2", "flood-3"].contains(&stop.task.step.job.as_str());
+    assert_eq!(stops.len(), 2);
+    assert!(stops.iter().all(of_flood), "what is covered goes on: {stops:?}");
+    for stop in &stops {
+        bench.end(stop, EndKind::Stopped);
+    }
+    let starts = bench.round(10).starts;
+    assert_eq!(starts.len(), 2);
+    assert!(starts.iter().all(|start| start.task.step.job.as_str() == "claim"));
+    assert_eq!(runs.len(), 4);
+}
+
+#[test]
+fn urgent_work_beyond_a_guarantee_stops_no_urgent_work() {
+    let (mut bench, _) = flooded();
+    bench.submit_for("flood", "flood-4", 0, vec![urgent_gang(1)]);
+    assert!(bench.round(10).stops.is_empty());
+}
+
+#[test]
+fn guaranteed_work_takes_room_that_is_held_for_urgent_work_beyond_a_guarantee() {
+    let mut bench = Bench::new(1, 2);
+    bench.guarantee(&[("flood", 8), ("other", 16)]);
+    bench.submit("sweep", 2, vec![patient(16)]);
+    bench.round(0);
+    bench.submit_for("flood", "flood", 0, vec![urgent_gang(2)]);
+    assert_eq!(bench.round(10).stops.len(), 16);
+    bench.submit_for("other", "claim", 0, vec![urgent_gang(2)]);
+    let runs: Vec<RunRef> = bench
+        .ledger
+        .upstreams()
+        .keys()
+        .flat_map(|at| bench.ledger.occupancy().runs(at).map(move |run| (at, run)))
+        .map(|(at, (task, open))| RunRef {
+            upstream: at.clone(),
+            task: task.clone(),
+            run: open.run,
+        })
+        .collect();
+    bench.round(10);
+    for run in &runs {
+        bench.end(run, EndKind::Stopped);
+    }
+    let starts = bench.round(10).starts;
+    assert_eq!(starts.len(), 2);
+    assert!(starts.iter().all(|start| start.task.step.job.as_str() == "claim"), "{starts:?}");
+}
+
+#[test]
+fn urgent_waits_for_room_that_is_being_cleared_rather_than_stopping_more() {
+    let mut bench = Bench::new(1, 2);
+    bench.submit("cancelled", 2, vec![patient(8)]);
+    bench.submit("sweep", 2, vec![patient(8)]);
+    bench.round(0);
+    let (id, at) = (job("cancelled"), bench.now);
+    bench.apply(WorkflowCommand::Cancel { id, at });
+    assert_eq!(bench.round(10).stops.len(), 8);
+    bench.submit("quote", 0, vec![urgent_gang(1)]);
+    assert!(bench.round(10).stops.is_empty(), "the cancelled job makes room");
+}
--- a/crates/hg_policy/tests/workflow_support/mod.rs
+++ b/crates/hg_policy/tests/workflow_support/mod.rs
@@ -4,9 +4,9 @@
 
 use hg_ledger::{RunRef, RunStart, Terms, WorkflowCommand, WorkflowEffect, WorkflowLedger};
 use hg_model::{
-    AccountName, DataCentreName, EndKind, Footprint, Incarnation, JobId, Label, PoolName,
-    QueueName, RackName, RunEnd, StepSpec, Time, UpstreamName, UpstreamReport, WorkflowSpec,
-    WorkflowState,
+    AccountName, Catalog, ClientAccount, DataCentreName, EndKind, Footprint, Incarnation, JobId,
+    Label, PoolName, QueueName, RackName, RunEnd, StepSpec, Time, UpstreamName, UpstreamReport,
+    WorkflowSpec, WorkflowState,
 };
 use hg_policy::{Fleet, WorkflowDecisions, WorkflowScheduler};
 
@@ -62,6 +62,26 @@
     }
 
     pub fn submit(&mut self, name: &str, priority: u32, steps: Vec<StepSpec>) {
+        self.submit_for("lindqvist", name, priority, steps);
+    }
+
+    /// Guarantees accelerators to accounts.
+    pub fn guarantee(&mut self, accounts: &[(&str, u32)]) {
+        let account = |(name, guaranteed): &(&str, u32)| ClientAccount {
+            name: AccountName::new(*name).expect("a good name"),
+            keys: Vec::new(),
+            guaranteed_accelerators: *guaranteed,
+        };
+        self.apply(WorkflowCommand::PutCatalog(Catalog {
+            version: 1,
+            queues: Vec::new(),
+            pools: Vec::new(),
+            accounts: accounts.iter().map(account).collect(),
+            document: Arc::from("{}"),
+        }));
+    }
+
+    pub fn submit_for(&mut self, account: &str, name: &str, priority: u32, steps: Vec<StepSpec>) {
         let terms = Terms {
             queue: QueueName::new("queue").expect("a good name"),
             pool: PoolName::new("pool").expect("a good name"),
@@ -72,7 +92,7 @@
             advice: None,
         };
         let spec = WorkflowSpec { content: Arc::from("work"), steps, schedule: None };
-        let account = AccountName::new("lindqvist").ok();
+        let account = AccountName::new(account).ok();
         let at = self.now;
         self.apply(WorkflowCommand::Accept { id: job(name), spec, terms, account, at });
     }
@@ -123,6 +143,7 @@
         name: upstream(number),
         incarnation: Incarnation(1),
         address: format!("127.0.0.1:{}", 9_000 + number).parse().expect("a good address"),
+        host: None,
         pool: PoolName::new("pool").expect("a good name"),
         data_centre: DataCentreName::new("north").expect("a good name"),
         rack: RackName::new(&rack).expect("a good name"),
