--- a/crates/hg_control/src/core.rs
+++ b/crates/hg_control/src/core.rs
@@ -16,7 +16,7 @@
 use slog::{Logger, crit, debug, warn};
 
 use crate::entries::Entries;
-use crate::workflow::{Order, OrderReport, WorkflowLead, WorkflowReplyKind};
+use crate::workflow::{Duty, DutyReport, Order, OrderReport, WorkflowLead, WorkflowReplyKind};
 
 /// Names a request that waits for its reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,6 +41,8 @@
     },
     /// An order to an upstream has come to something.
     Report(OrderReport),
+    /// A call to the platform has come to something.
+    DutyReport(DutyReport),
     /// This process is to leave the lead, because it shuts down.
     HandOver,
 }
@@ -54,6 +56,8 @@
     pub directives: Vec<(EntryName, Directive)>,
     /// To upstreams; only valid while the lease holds.
     pub orders: Vec<Order>,
+    /// To the platform; only valid while the lease holds.
+    pub duties: Vec<Duty>,
     /// To whoever asked.
     pub replies: Vec<(Ticket, Reply)>,
 }
@@ -239,6 +243,7 @@
                 }
                 Event::Request { ticket, req } => self.on_request(now, ticket, req),
                 Event::Report(report) => self.on_order_report(now, report),
+                Event::DutyReport(report) => self.on_duty_report(now, report),
                 Event::HandOver => self.replica.hand_over(now),
             }
         }
--- a/crates/hg_control/src/drive.rs
+++ b/crates/hg_control/src/drive.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 
 use crate::links::{Outbox, PeerFrame};
-use crate::{Actions, Clock, Core, Event, OrderReport, Ticket};
+use crate::{Actions, Clock, Core, DutyReport, Event, OrderReport, Ticket};
 
 /// How long the core sleeps at most.
 const TICK: Duration = Duration::from_millis(20);
@@ -33,6 +33,8 @@
     Request(Request, oneshot::Sender<Reply>),
     /// What came of an order to an upstream.
     Report(OrderReport),
+    /// What came of a call to the platform.
+    DutyReport(DutyReport),
     /// Leave the lead.
     HandOver,
     /// End.
@@ -146,6 +148,7 @@
                 events.push(Event::Request { ticket, req });
             }
             Input::Report(report) => events.push(Event::Report(report)),
+            Input::DutyReport(report) => events.push(Event::DutyReport(report)),
             Input::HandOver => events.push(Event::HandOver),
             Input::Stop => {}
         }
@@ -157,6 +160,7 @@
         if self.core.may_decide(self.clock.now()) {
             self.outbox.send_directives(actions.directives);
             self.outbox.send_orders(actions.orders, &self.driver);
+            self.outbox.send_duties(actions.duties, &self.driver);
         } else {
             self.outbox.take_back(actions.orders, &self.driver);
         }
--- a/crates/hg_control/src/lib.rs
+++ b/crates/hg_control/src/lib.rs
@@ -25,7 +25,9 @@
 pub use drive::Driver;
 pub use file_disk::FileDisk;
 pub use found::{FoundError, Founder, found};
+pub use links::Drivers;
 pub use run::{ControlParts, ControlProcess, run, run_found};
 pub use workflow::{
-    Order, OrderId, OrderKind, OrderReport, OrderResult, StartRefusal, UpstreamDriver,
+    Advice, Duty, DutyReport, HostOrder, HostOrderKind, HostOrderResult, Order, OrderId, OrderKind,
+    OrderReport, OrderResult, PlatformDriver, StartRefusal, UpstreamDriver,
 };
--- a/crates/hg_control/src/links.rs
+++ b/crates/hg_control/src/links.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::drive::{Driver, Input};
-use crate::workflow::{Order, OrderReport, OrderResult, UpstreamDriver};
+use crate::workflow::{Duty, Order, OrderReport, OrderResult, PlatformDriver, UpstreamDriver};
 
 /// Most batches that wait for one replica; more are dropped, since the agreement repairs losses.
 const PEER_QUEUE_MAX: usize = 256;
@@ -54,7 +54,16 @@
     log: Logger,
     peers: Mutex<BTreeMap<SocketAddr, Sender<Vec<Message>>>>,
     entries: Mutex<BTreeMap<EntryName, Sender<Directive>>>,
-    upstreams: Option<Arc<dyn UpstreamDriver>>,
+    drivers: Drivers,
+}
+
+/// Who speaks to the world outside; without a driver nothing is sent there.
+#[derive(Debug, Clone, Default)]
+pub struct Drivers {
+    /// Speaks to upstreams that run workflows.
+    pub upstreams: Option<Arc<dyn UpstreamDriver>>,
+    /// Speaks to whoever owns the hosts.
+    pub platform: Option<Arc<dyn PlatformDriver>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -65,16 +74,16 @@
     pub(crate) fn new(
         endpoint: LinkEndpoint,
         runtime: Handle,
-        upstreams: Option<Arc<dyn UpstreamDriver>>,
+        drivers: Drivers,
         log: Logger,
     ) -> Self {
         let (peers, entries) = (Mutex::default(), Mutex::default());
-        Self { shared: Arc::new(Shared { endpoint, runtime, log, peers, entries, upstreams }) }
+        Self { shared: Arc::new(Shared { endpoint, runtime, log, peers, entries, drivers }) }
     }
 
     /// Sends orders to upstreams; what comes of each goes back to the core.
     pub(crate) fn send_orders(&self, orders: Vec<Order>, driver: &Driver) {
-        let Some(upstreams) = &self.shared.upstreams else { return };
+        let Some(upstreams) = &self.shared.drivers.upstreams else { return };
         for order in orders {
             let (upstreams, driver) = (Arc::clone(upstreams), driver.clone());
             let log = self.shared.log.clone();
@@ -82,6 +91,22 @@
         }
     }
 
+    /// Makes calls to the platform; what comes of each goes back to the core.
+    pub(crate) fn send_duties(&self, duties: Vec<Duty>, driver: &Driver) {
+        let Some(platform) = &self.shared.drivers.platform else { return };
+        for duty in duties {
+            let (platform, driver) = (Arc::clone(platform), driver.clone());
+            let log = self.shared.log.clone();
+            self.shared.runtime.spawn(async move {
+                let report = platform.carry_out(duty).await;
+                if !driver.put(Input::DutyReport(report)) {
+                    warn!(log, "control: report dropped, the core is overloaded";
+                        "event" => "report.dropped", "order" => "platform");
+                }
+            });
+        }
+    }
+
     /// Reports orders that were not sent because the lease ended meanwhile.
     pub(crate) fn take_back(&self, orders: Vec<Order>, driver: &Driver) {
         for order in orders {
--- a/crates/hg_control/src/run.rs
+++ b/crates/hg_control/src/run.rs
@@ -17,10 +17,8 @@
 
 use crate::drive::{self, Input};
 use crate::found::create_founder;
-use crate::links::{Asking, Outbox, accept_links, ask_for_place};
-use crate::{
-    Clock, Core, CoreConfig, Driver, FileDisk, Founder, UpstreamDriver, WorkflowConfig, found, http,
-};
+use crate::links::{Asking, Drivers, Outbox, accept_links, ask_for_place};
+use crate::{Clock, Core, CoreConfig, Driver, FileDisk, Founder, WorkflowConfig, found, http};
 
 /// How long a leader that ends waits for its heir.
 const HAND_OVER: Duration = Duration::from_millis(500);
@@ -48,8 +46,8 @@
 pub struct ControlParts {
     /// Its settings.
     pub settings: ControlSettings,
-    /// Speaks to upstreams that run workflows; without one, no workflow runs.
-    pub upstreams: Option<Arc<dyn UpstreamDriver>>,
+    /// Who speaks to upstreams and to the platform; without them no workflow runs.
+    pub drivers: Drivers,
     /// The hosts that found the group on empty disks; empty except at a deployment's first start.
     pub founders: Vec<Founder>,
     /// What holds for workflows.
@@ -74,7 +72,7 @@
     ///
     /// With the step that failed: keys, sockets or the disk.
     pub async fn start(parts: ControlParts, log: &Logger) -> eyre::Result<Self> {
-        let ControlParts { settings, upstreams, founders, workflows } = parts;
+        let ControlParts { settings, drivers, founders, workflows } = parts;
         let prometheus = PrometheusBuilder::new().install_recorder().wrap_err("metrics")?;
         let keys = KeyFolder::new(&settings.keys);
         let endpoint = LinkEndpoint::listen(settings.listen, &keys).wrap_err("link endpoint")?;
@@ -88,7 +86,7 @@
         info!(log, "control: starts"; "event" => "control.start", "id" => %id);
 
         let needs_place = Arc::new(AtomicBool::new(false));
-        let outbox = Outbox::new(endpoint.clone(), Handle::current(), upstreams, log.clone());
+        let outbox = Outbox::new(endpoint.clone(), Handle::current(), drivers, log.clone());
         let (driver, thread) =
             drive::start(core, clock, outbox.clone(), Arc::clone(&needs_place), log.clone())
                 .wrap_err("core")?;
@@ -147,9 +145,9 @@
 ///
 /// With the step that failed: keys, sockets or the disk.
 pub async fn run(settings: ControlSettings, log: Logger) -> eyre::Result<()> {
-    let (upstreams, founders) = (None, Vec::new());
+    let (drivers, founders) = (Drivers::default(), Vec::new());
     let workflows = WorkflowConfig::default();
-    let parts = ControlParts { settings, upstreams, founders, workflows };
+    let parts = ControlParts { settings, drivers, founders, workflows };
     let mut process = ControlProcess::start(parts, &log).await?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("signals")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("signals")?;
--- a/crates/hg_control/src/workflow/dispatch.rs
+++ b/crates/hg_control/src/workflow/dispatch.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use hg_ledger::{LostRun, WorkflowLedger};
-use hg_model::{Checkpoint, TaskId, Term, Time, UpstreamName};
+use hg_model::{Checkpoint, StepSpec, TaskId, Term, Time, UpstreamName};
+use hg_policy::TicketBook;
 
 use super::session::{RunSession, Session, StartStage, StopStage};
 use super::sessions::Work;
@@ -16,6 +17,8 @@
 const START_VALID_MS: u64 = 3_000;
 /// How long an upstream may hold back a listing in which nothing is new.
 pub(super) const LISTING_WAIT: Duration = Duration::from_millis(1_900);
+/// The same where fillers work beside tasks that serve users, whose figures cover half a second.
+const DISTURBED_WAIT: Duration = Duration::from_millis(300);
 /// How long a listing may take beyond that.
 const LISTING_SLACK: Duration = Duration::from_millis(700);
 
@@ -26,6 +29,7 @@
     pub(super) name: &'a UpstreamName,
     pub(super) now: Time,
     pub(super) work: &'a mut Work,
+    pub(super) tickets: &'a TicketBook,
 }
 
 impl Dispatch<'_> {
@@ -82,6 +86,15 @@
         }
     }
 
+    /// Tells runs to work at another pace.
+    pub(super) fn pace(&mut self, session: &mut Session) {
+        for (task, (run, percent)) in std::mem::take(&mut session.paces) {
+            if session.runs.get(&task).is_some_and(|known| known.run == run) {
+                self.order(session, OrderKind::Pace { task, run, percent }, ANSWER_LIMIT);
+            }
+        }
+    }
+
     fn give_up(&self, session: &mut Session, task: &TaskId, run: &RunSession) -> LostRun {
         update(session, task, |run| run.note_losing(self.now));
         run.lost(task, self.name)
@@ -102,13 +115,20 @@
         let Some((content, checkpoint)) = start_content(ledger, task) else { return };
         let Some(lease_until) = session.grant(self.now, START_VALID_MS) else { return };
         let (task, run) = (task.clone(), run.run);
-        let kind = OrderKind::Start { task: task.clone(), run, content, lease_until, checkpoint };
+        let ticket = self.tickets.ticket(self.now, &task.step, self.name);
+        let kind =
+            OrderKind::Start { task: task.clone(), run, content, lease_until, checkpoint, ticket };
         let id = self.order(session, kind, ANSWER_LIMIT);
         update(session, &task, |run| run.start = StartStage::Sent(id));
     }
 
     /// Renews the lease and asks for the lists.
-    pub(super) fn renewal(&mut self, session: &mut Session, lease_max_ms: u64) {
+    pub(super) fn renewal(
+        &mut self,
+        session: &mut Session,
+        ledger: &WorkflowLedger,
+        lease_max_ms: u64,
+    ) {
         let is_due = session.needs_listing()
             || session.acknowledged > session.told
             || session.unseen
@@ -118,8 +138,13 @@
         if !is_due || blocked {
             return;
         }
-        let wait =
-            if session.unseen || session.runs.is_empty() { Duration::ZERO } else { LISTING_WAIT };
+        let wait = if session.unseen || session.runs.is_empty() {
+            Duration::ZERO
+        } else if has_disturbance(session, ledger) {
+            DISTURBED_WAIT
+        } else {
+            LISTING_WAIT
+        };
         let lease_until = session.renewal(self.now, lease_max_ms);
         let acknowledged = session.acknowledgement(self.now);
         session.telling = acknowledged;
@@ -142,3 +167,15 @@
     let record = step.tasks.get(usize::try_from(task.index).ok()?)?;
     Some((Arc::clone(&job.spec.content), record.checkpoint.clone()))
 }
+
+/// Whether fillers work beside tasks that serve users of their own.
+fn has_disturbance(session: &Session, ledger: &WorkflowLedger) -> bool {
+    let specs: Vec<&StepSpec> =
+        session.runs.keys().filter_map(|task| spec_of(ledger, task)).collect();
+    specs.iter().any(|spec| spec.filler) && specs.iter().any(|spec| spec.target.is_some())
+}
+
+fn spec_of<'a>(ledger: &'a WorkflowLedger, task: &TaskId) -> Option<&'a StepSpec> {
+    let job = ledger.job(&task.step.job)?;
+    job.spec.steps.get(usize::try_from(task.step.step).ok()?)
+}
--- /dev/null
+++ b/crates/hg_control/src/workflow/duty.rs
@@ -0,0 +1,84 @@
+//! Calls to the platform that owns the hosts, and to the service that decides where steps may run.
+
+use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use hg_model::{HostName, HostReport, PoolName, Term, UpstreamName, WaveNumber};
+use hg_policy::AdviceAsk;
+
+/// What is to happen with a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HostOrderKind {
+    /// It goes down for upkeep; everything that runs on it ends.
+    Upkeep(WaveNumber),
+    /// It changes its pool; everything that runs on it ends.
+    Move(PoolName),
+}
+
+/// One order about a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostOrder {
+    /// The host.
+    pub host: HostName,
+    /// What is to happen.
+    pub kind: HostOrderKind,
+    /// The fencing token: the leader's term.
+    pub fence: Term,
+}
+
+/// What came of an order about a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HostOrderResult {
+    /// It is carried out, or was already.
+    Done,
+    /// The host is doing something else just now.
+    Busy,
+    /// The host does not belong to that wave, or may not be in that pool.
+    Refused,
+    /// There is no such host.
+    NoSuchHost,
+    /// A higher fencing token is known for it.
+    Fenced,
+    /// Nobody knows whether it was, or will be, carried out.
+    Unanswered(String),
+}
+
+/// What the service that decides where steps may run has answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Advice {
+    /// The upstreams that are allowed, with their tickets.
+    pub allowed: Vec<(UpstreamName, Arc<str>)>,
+    /// How long the tickets are valid, in milliseconds.
+    pub valid_ms: u64,
+}
+
+/// A finished call.
+#[derive(Debug, Clone)]
+pub enum DutyReport {
+    /// An order about a host.
+    Host(HostOrder, HostOrderResult),
+    /// The list of hosts, or why it could not be read.
+    Hosts(Result<Vec<HostReport>, String>),
+    /// What the service that decides where steps may run has answered, or why it has not.
+    Advice(AdviceAsk, Result<Advice, String>),
+}
+
+/// A call to be made.
+#[derive(Debug, Clone)]
+pub enum Duty {
+    /// Give an order about a host.
+    Host(HostOrder),
+    /// Read the list of hosts.
+    ListHosts,
+    /// Ask where a step may run.
+    Ask(AdviceAsk),
+}
+
+/// Speaks the platform's protocol.
+///
+/// An implementation makes each call once and reports what came back. It retries nothing.
+pub trait PlatformDriver: fmt::Debug + Send + Sync {
+    /// Makes a call and waits for what comes of it.
+    fn carry_out(&self, duty: Duty) -> Pin<Box<dyn Future<Output = DutyReport> + Send + '_>>;
+}
--- a/crates/hg_control/src/workflow/lead.rs
+++ b/crates/hg_control/src/workflow/lead.rs
@@ -1,15 +1,17 @@
 //! The leader's rounds over workflows.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hg_ledger::{Command, WorkflowCommand, WorkflowEffect};
-use hg_model::{Term, Time};
-use hg_policy::{RunStop, WorkflowScheduler};
+use hg_model::{HostName, Term, Time};
+use hg_policy::{HostMove, RunStop, WorkflowScheduler};
 use hg_replica::Disk;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 
+use super::duties::{Duties, hosts_taken_down};
 use super::sessions::{Sessions, Work};
-use super::{OrderReport, OrderResult};
+use super::{DutyReport, HostOrderResult, OrderReport, OrderResult, StartRefusal};
 use crate::Core;
 use crate::core::Purpose;
 
@@ -25,6 +27,7 @@
 pub(crate) struct WorkflowLead {
     pub(crate) sessions: Sessions,
     pub(crate) scheduler: WorkflowScheduler,
+    pub(crate) duties: Duties,
     /// Starts that are proposed and not applied yet.
     undecided: usize,
     /// Whether something changed since the last round.
@@ -34,10 +37,11 @@
 }
 
 impl WorkflowLead {
-    pub(crate) fn new(now: Time, sessions: Sessions) -> Self {
+    pub(crate) fn new(now: Time, term: Term, sessions: Sessions) -> Self {
         Self {
             sessions,
             scheduler: WorkflowScheduler::new(),
+            duties: Duties::new(now, term),
             undecided: 0,
             changed: true,
             decided_at: Time(0),
@@ -49,14 +53,17 @@
 impl<D: Disk> Core<D> {
     pub(crate) fn start_workflow_lead(&self, now: Time, term: Term) -> WorkflowLead {
         let lease_max_ms = self.cfg.workflows.lease_max_ms;
-        WorkflowLead::new(now, Sessions::new(now, term, lease_max_ms, self.ledger.workflows()))
+        let sessions = Sessions::new(now, term, lease_max_ms, self.ledger.workflows());
+        WorkflowLead::new(now, term, sessions)
     }
 
     /// One round: what is due goes out, then new decisions are taken.
     pub(crate) fn lead_workflows(&mut self, now: Time) {
         let Some(lead) = self.workflows.as_mut() else { return };
         let mut work = Work::default();
-        lead.sessions.advance(now, self.ledger.workflows(), &mut work);
+        let ledger = self.ledger.workflows();
+        lead.sessions.advance(now, ledger, lead.scheduler.tickets(), &mut work);
+        self.actions.duties.extend(lead.duties.advance(now, ledger));
         self.carry_out_work(now, work);
         self.decide_workflows(now);
         self.forget_workflows(now);
@@ -68,7 +75,15 @@
         let Some(lead) = self.workflows.as_mut() else { return };
         if let OrderResult::Listed(listing) = &report.result {
             let ledger = self.ledger.workflows();
-            lead.scheduler.note_listing(now, ledger, &report.upstream, listing);
+            for change in lead.scheduler.note_listing(now, ledger, &report.upstream, listing) {
+                debug!(self.log, "workflow: paces run"; "event" => "run.pace",
+                    "task" => %change.run.task, "upstream" => %change.run.upstream,
+                    "percent" => change.percent);
+                lead.sessions.pace_run(change);
+            }
+        }
+        if matches!(report.result, OrderResult::NotStarted(StartRefusal::Ticket)) {
+            lead.scheduler.note_ticket_refused(&report.upstream);
         }
         let mut work = Work::default();
         lead.sessions.on_report(now, report, &mut work);
@@ -95,17 +110,88 @@
         let mut fleet = lead.sessions.fleet(now);
         let aside = ledger.upstreams().keys().filter(|name| lead.scheduler.is_aside(now, name));
         fleet.shunned.extend(aside.cloned());
+        fleet.hosts = lead.duties.hosts.clone();
+        fleet.moving = lead.duties.moving();
         let decisions = lead.scheduler.decide(now, ledger, &fleet);
         for RunStop { run, reason } in &decisions.stops {
             info!(self.log, "workflow: stops run"; "event" => "run.stop", "task" => %run.task,
                 "run" => run.run.0, "upstream" => %run.upstream, "reason" => %reason);
             lead.sessions.stop_run(run);
         }
+        self.actions.duties.extend(lead.duties.ask(now, decisions.ask));
+        for HostMove { host, pool } in &decisions.moves {
+            info!(self.log, "workflow: moves host"; "event" => "host.move", "host" => %host,
+                "pool" => %pool);
+        }
+        lead.duties.order_moves(decisions.moves);
+        let upkeeps = lead.duties.order_upkeeps(decisions.upkeeps);
         if !decisions.starts.is_empty() {
             lead.undecided += 1;
             let command = WorkflowCommand::Start { starts: decisions.starts, at: now };
             self.propose(now, Command::Workflow(command), Purpose::WorkflowDecided);
         }
+        for command in upkeeps {
+            self.propose(now, Command::Workflow(command), Purpose::Kept);
+        }
+    }
+
+    /// Takes in what came of a call to the platform.
+    pub(crate) fn on_duty_report(&mut self, now: Time, report: DutyReport) {
+        let Some(lead) = self.workflows.as_mut() else { return };
+        let ledger = self.ledger.workflows();
+        lead.changed = true;
+        let mut commands = Vec::new();
+        let mut down = BTreeSet::new();
+        match report {
+            DutyReport::Host(order, result) => {
+                info!(self.log, "workflow: host ordered"; "event" => "host.ordered",
+                    "host" => %order.host, "kind" => ?order.kind, "result" => ?result);
+                commands.extend(lead.duties.note_order(&order, &result));
+                if result == HostOrderResult::Done {
+                    down.insert(order.host);
+                }
+            }
+            DutyReport::Hosts(listed) => {
+                if let Err(cause) = &listed {
+                    warn!(self.log, "workflow: hosts not listed"; "event" => "hosts.unlisted",
+                        "cause" => cause);
+                }
+                commands = lead.duties.note_hosts(now, listed, ledger);
+                down = hosts_taken_down(&commands);
+            }
+            DutyReport::Advice(ask, answer) => {
+                let asked_at = lead.duties.note_asked(now, answer.is_ok()).unwrap_or(now);
+                match answer {
+                    Ok(advice) => {
+                        info!(self.log, "workflow: advised"; "event" => "advice.given",
+                            "step" => %ask.step, "asked" => ask.upstreams.len(),
+                            "allowed" => advice.allowed.len(), "valid_ms" => advice.valid_ms);
+                        let until = asked_at.after(Duration::from_millis(advice.valid_ms));
+                        lead.scheduler.note_advice(ledger, &ask, &advice.allowed, until);
+                    }
+                    Err(cause) => {
+                        warn!(self.log, "workflow: not advised"; "event" => "advice.failed",
+                            "step" => %ask.step, "cause" => cause);
+                    }
+                }
+            }
+        }
+        self.note_hosts_down(now, &down);
+        for command in commands {
+            self.propose(now, Command::Workflow(command), Purpose::Kept);
+        }
+    }
+
+    /// The upstreams on hosts that went down are gone; their successors are other lives.
+    fn note_hosts_down(&mut self, now: Time, down: &BTreeSet<HostName>) {
+        let Some(lead) = self.workflows.as_ref() else { return };
+        let upstreams = self.ledger.workflows().upstreams().values();
+        let gone = upstreams.filter(|u| u.host.as_ref().is_some_and(|host| down.contains(host)));
+        let departures: Vec<WorkflowCommand> =
+            gone.map(|u| lead.sessions.departure(now, &u.name, u.incarnation)).collect();
+        for command in departures {
+            self.propose(now, Command::Workflow(command), Purpose::Kept);
+        }
     }
 
     /// The starts that were proposed have been applied, or never will be.
@@ -150,7 +236,10 @@
                 info!(self.log, "workflow: ended"; "event" => "workflow.ended", "job" => %job,
                     "state" => ledger.state(job).map(|state| state.to_string()));
             }
-            WorkflowEffect::Ending(_) | WorkflowEffect::Accepted(_) | WorkflowEffect::Catalog => {}
+            WorkflowEffect::Ending(_)
+            | WorkflowEffect::Accepted(_)
+            | WorkflowEffect::Catalog
+            | WorkflowEffect::Wave(_) => {}
         }
     }
 
@@ -220,6 +309,15 @@
                 info!(self.log, "workflow: upstream gone"; "event" => "upstream.gone",
                     "upstream" => %name, "incarnation" => incarnation.0);
             }
+            WorkflowCommand::StartWave { spec, .. } => {
+                info!(self.log, "workflow: wave taken in"; "event" => "wave.started",
+                    "wave" => %spec.number, "hosts" => spec.hosts.len(),
+                    "deadline_ms" => spec.deadline_ms, "down_max" => spec.down_max);
+            }
+            WorkflowCommand::Upkeep { wave, host, stage } => {
+                info!(self.log, "workflow: upkeep"; "event" => "host.upkeep", "wave" => %wave,
+                    "host" => %host, "stage" => ?stage);
+            }
             WorkflowCommand::Forget { .. } => {}
         }
     }
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -1,11 +1,14 @@
 //! The leader's part in workflows: requests, decisions, and orders to upstreams.
 //!
 //! * [`Order`] and [`OrderResult`] cross the [`UpstreamDriver`], which speaks an upstream's protocol.
+//! * [`Duty`] and [`DutyReport`] cross the [`PlatformDriver`], which speaks to whoever owns the hosts.
 //! * `Session` follows one life of one upstream: its clock, its leases, what it was ordered.
 //! * `Sessions` holds all of them; `dispatch` turns what is due into orders, `reports` takes in what
 //!   comes of them.
 
 mod dispatch;
+mod duties;
+mod duty;
 mod lead;
 mod order;
 mod reports;
@@ -13,6 +16,9 @@
 mod session;
 mod sessions;
 
+pub use duty::{
+    Advice, Duty, DutyReport, HostOrder, HostOrderKind, HostOrderResult, PlatformDriver,
+};
 pub use order::{
     Order, OrderId, OrderKind, OrderReport, OrderResult, StartRefusal, UpstreamDriver,
 };
--- a/crates/hg_control/src/workflow/order.rs
+++ b/crates/hg_control/src/workflow/order.rs
@@ -29,6 +29,8 @@
         lease_until: ClockReading,
         /// Where to resume.
         checkpoint: Option<Checkpoint>,
+        /// Allows the step there, where another service decides that.
+        ticket: Option<Arc<str>>,
     },
     /// Stop a run, and never start it from now on.
     Stop {
@@ -37,6 +39,15 @@
         /// Which start of it.
         run: RunNumber,
     },
+    /// Let a run work at a share of its full pace.
+    Pace {
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: RunNumber,
+        /// The share, from 0 to 100.
+        percent: u32,
+    },
     /// Extend the lease on everything that runs there, and list it.
     Renew {
         /// The reading of the upstream's clock up to which the lease is to last; `None` leaves it.
@@ -56,6 +67,7 @@
                 write!(f, "Start({task} run {run} until {})", lease_until.0)
             }
             Self::Stop { task, run } => write!(f, "Stop({task} run {run})"),
+            Self::Pace { task, run, percent } => write!(f, "Pace({task} run {run} at {percent} %)"),
             Self::Renew { acknowledged, wait, .. } => {
                 write!(f, "Renew(acknowledged {acknowledged}, wait {wait:?})")
             }
@@ -110,6 +122,8 @@
     NotStarted(StartRefusal),
     /// The run will not start any more; if it was there, it ends soon.
     Stopped(ClockReading),
+    /// The run works at the new pace.
+    Paced(ClockReading),
     /// The lease is extended; this is there.
     Listed(RunListing),
     /// It knows a higher fencing token and did nothing.
--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -153,7 +153,11 @@
             if let Some(lost) = on_refusal(now, refusal, name, task, run, settled_by) {
                 work.commands.push(WorkflowCommand::Lose { runs: vec![lost], at: now });
             }
-            if !matches!(refusal, StartRefusal::Outdated | StartRefusal::Late) {
+            let is_fault_of_ours = matches!(
+                refusal,
+                StartRefusal::Outdated | StartRefusal::Late | StartRefusal::Ticket
+            );
+            if !is_fault_of_ours {
                 session.suspect_until = now.after(SUSPECT);
             }
         }
@@ -161,7 +165,7 @@
             retry(run, id);
             work.commands.push(session.departure(now, name));
         }
-        OrderResult::Fenced | OrderResult::Listed(_) => retry(run, id),
+        OrderResult::Fenced | OrderResult::Listed(_) | OrderResult::Paced(_) => retry(run, id),
         OrderResult::Unanswered(_) => {
             on_unanswered(run, id);
             session.note_silence(now);
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -6,7 +6,7 @@
 use hg_link::{CallerAsk, CallerCall, Reply, WorkflowReply, WorkflowRequest};
 use hg_model::{
     Catalog, Incarnation, JobId, QueueSpec, Time, UpstreamName, UpstreamReport, VitalSigns,
-    WorkflowSpec, WorkflowState,
+    WaveNumber, WaveSpec, WorkflowSpec, WorkflowState,
 };
 use hg_policy::admit;
 use hg_replica::Disk;
@@ -44,6 +44,8 @@
             WorkflowRequest::Call(call) => self.on_call(now, ticket, call),
             WorkflowRequest::PutCatalog(catalog) => self.on_put_catalog(now, ticket, catalog),
             WorkflowRequest::GetCatalog => Some(self.catalog_reply()),
+            WorkflowRequest::StartWave(spec) => self.on_start_wave(now, ticket, spec),
+            WorkflowRequest::WaveState(number) => Some(self.wave_reply(number)),
             WorkflowRequest::Heartbeat { report, signs } => {
                 self.on_heartbeat(now, ticket, report, signs)
             }
@@ -103,6 +105,30 @@
         )
     }
 
+    fn on_start_wave(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        spec: WaveSpec,
+    ) -> Option<WorkflowReply> {
+        if let Err(fault) = spec.check() {
+            info!(self.log, "workflow: wave refused"; "event" => "wave.refused",
+                "wave" => %spec.number, "fault" => %fault);
+            return Some(WorkflowReply::Invalid(fault.to_string()));
+        }
+        if self.ledger.workflows().waves().get(spec.number).is_some() {
+            // The operator sent it again after a lost answer.
+            return Some(WorkflowReply::Stored);
+        }
+        let command = WorkflowCommand::StartWave { spec, at: now };
+        self.ask_workflow(now, ticket, command, WorkflowReplyKind::Stored)
+    }
+
+    fn wave_reply(&self, number: WaveNumber) -> WorkflowReply {
+        let wave = self.ledger.workflows().waves().get(number);
+        wave.map_or(WorkflowReply::Unknown, |wave| WorkflowReply::Wave(wave.state()))
+    }
+
     fn on_call(&mut self, now: Time, ticket: Ticket, call: CallerCall) -> Option<WorkflowReply> {
         let Some(catalog) = self.ledger.workflows().catalog() else {
             return Some(WorkflowReply::NoCatalog);
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -149,6 +149,8 @@
     /// When it goes at the earliest, once it has said that it leaves.
     pub(super) leaves_at: Option<Time>,
     pub(super) runs: BTreeMap<TaskId, RunSession>,
+    /// Paces to be told.
+    pub(super) paces: BTreeMap<TaskId, (RunNumber, u32)>,
     /// What was listed as running and is not open, such as a start that was carried out late.
     pub(super) strays: BTreeMap<TaskId, RunNumber>,
 }
@@ -181,6 +183,7 @@
             suspect_until: Time(0),
             leaves_at: None,
             runs: BTreeMap::new(),
+            paces: BTreeMap::new(),
             strays: BTreeMap::new(),
         }
     }
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -5,12 +5,12 @@
 
 use hg_ledger::{OpenRun, RunRef, WorkflowCommand, WorkflowLedger};
 use hg_model::{ClockReading, Incarnation, Term, Time, UpstreamName, UpstreamReport, VitalSigns};
-use hg_policy::Fleet;
+use hg_policy::{Fleet, PaceChange, TicketBook};
 
 use super::dispatch::Dispatch;
 use super::reports::{on_renewal, on_run_report};
 use super::session::{RunSession, Session, StartStage, StopStage};
-use super::{Order, OrderId, OrderReport};
+use super::{Order, OrderId, OrderReport, OrderResult};
 
 /// How long acknowledgements for an idle upstream wait for more of them.
 const ACKNOWLEDGE_PAUSE: Duration = Duration::from_millis(50);
@@ -55,6 +55,7 @@
         Fleet {
             shunned: shunned.map(|(name, _)| name.clone()).collect(),
             leaving: leaving.collect(),
+            ..Fleet::default()
         }
     }
 
@@ -158,6 +159,14 @@
         }
     }
 
+    /// A run is to work at another pace.
+    pub(crate) fn pace_run(&mut self, change: PaceChange) {
+        let PaceChange { run: RunRef { upstream, task, run }, percent } = change;
+        if let Some(session) = self.sessions.get_mut(&upstream) {
+            session.paces.insert(task, (run, percent));
+        }
+    }
+
     /// Ends up to a number are in the log.
     pub(crate) fn note_ends(
         &mut self,
@@ -195,13 +204,21 @@
     }
 
     /// Turns what is due into orders and commands.
-    pub(crate) fn advance(&mut self, now: Time, ledger: &WorkflowLedger, work: &mut Work) {
+    pub(crate) fn advance(
+        &mut self,
+        now: Time,
+        ledger: &WorkflowLedger,
+        tickets: &TicketBook,
+        work: &mut Work,
+    ) {
         let mut lost = Vec::new();
         for (name, session) in &mut self.sessions {
-            let mut at = Dispatch { term: self.term, next: &mut self.next, name, now, work };
+            let (term, next) = (self.term, &mut self.next);
+            let mut at = Dispatch { term, next, name, now, work, tickets };
             at.strays(session);
             at.runs(session, ledger, &mut lost);
-            at.renewal(session, self.lease_max_ms);
+            at.pace(session);
+            at.renewal(session, ledger, self.lease_max_ms);
             if now >= session.heard.after(FORGET_AFTER) && session.runs.is_empty() {
                 session.heard = now;
                 work.commands.push(session.departure(now, name));
@@ -215,6 +232,13 @@
     /// Takes in what came of an order.
     pub(crate) fn on_report(&mut self, now: Time, report: OrderReport, work: &mut Work) {
         let OrderReport { id, upstream, result } = report;
+        if let OrderResult::Paced(clock) = result {
+            if let Some(session) = self.sessions.get_mut(&upstream) {
+                session.note_clock(now, clock);
+                session.note_answer();
+            }
+            return;
+        }
         let settled_by = OrderId(self.next);
         let Some(session) = self.sessions.get_mut(&upstream) else { return };
         if session.renewal == Some(id) {
--- a/crates/hg_control/tests/workflow_world/stand_in.rs
+++ b/crates/hg_control/tests/workflow_world/stand_in.rs
@@ -167,6 +167,7 @@
                 }
                 OrderResult::Stopped(clock)
             }
+            OrderKind::Pace { .. } => OrderResult::Paced(clock),
             OrderKind::Renew { lease_until, acknowledged, .. } => {
                 self.extend(clock, lease_until.map_or(0, |until| until.0));
                 self.forget(*acknowledged, oracle);
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -1,12 +1,12 @@
 //! What goes through the log about workflows.
 
 use hg_model::{
-    AccountName, Catalog, Checkpoint, Incarnation, JobId, RunEnd, RunNumber, TaskId, Time,
-    UpstreamName, UpstreamReport, WorkflowSpec,
+    AccountName, Catalog, Checkpoint, HostName, Incarnation, JobId, RunEnd, RunNumber, TaskId,
+    Time, UpstreamName, UpstreamReport, WaveNumber, WaveSpec, WorkflowSpec,
 };
 use serde::{Deserialize, Serialize};
 
-use super::Terms;
+use super::{Terms, UpkeepStage};
 
 /// A start that was decided. It is logged before any upstream hears of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -109,6 +109,22 @@
         /// When.
         at: Time,
     },
+    /// Takes a maintenance wave in.
+    StartWave {
+        /// What is asked for.
+        spec: WaveSpec,
+        /// When.
+        at: Time,
+    },
+    /// Notes how far a host's upkeep is.
+    Upkeep {
+        /// The wave.
+        wave: WaveNumber,
+        /// The host.
+        host: HostName,
+        /// How far.
+        stage: UpkeepStage,
+    },
     /// Forgets workflows that ended before a point in time.
     Forget {
         /// The point.
--- a/crates/hg_ledger/src/workflow/effect.rs
+++ b/crates/hg_ledger/src/workflow/effect.rs
@@ -1,6 +1,6 @@
 //! What a workflow command changed, for a leader that follows along.
 
-use hg_model::{JobId, RunNumber, TaskId, UpstreamName};
+use hg_model::{JobId, RunNumber, TaskId, UpstreamName, WaveNumber};
 
 /// One run at one upstream.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,4 +32,6 @@
     Deregistered(UpstreamName),
     /// Another catalog is in force.
     Catalog,
+    /// A maintenance wave was taken in, or one of its hosts is further.
+    Wave(WaveNumber),
 }
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -10,7 +10,7 @@
 
 use super::{
     EndedWorkflow, LostRun, Occupancy, Occurrence, OpenRun, Phase, RunRef, RunStart, SavedProgress,
-    StepRecord, TaskState, Terms, Workflow, WorkflowCommand, WorkflowEffect,
+    StepRecord, TaskState, Terms, Waves, Workflow, WorkflowCommand, WorkflowEffect,
 };
 
 /// Most workflows in their final state that are remembered.
@@ -25,6 +25,7 @@
     ended: BTreeMap<JobId, EndedWorkflow>,
     ended_order: VecDeque<JobId>,
     occupancy: Occupancy,
+    waves: Waves,
 }
 
 /// Queries.
@@ -67,6 +68,11 @@
         &self.occupancy
     }
 
+    /// The maintenance waves.
+    pub const fn waves(&self) -> &Waves {
+        &self.waves
+    }
+
     /// When the workflow ended that has been in its final state for longest.
     pub fn oldest_end(&self) -> Option<Time> {
         self.ended.get(self.ended_order.front()?).map(|ended| ended.at)
@@ -103,6 +109,16 @@
             WorkflowCommand::Deregister { name, incarnation, saved, at } => {
                 self.deregister(&name, incarnation, &saved, at, &mut effects);
             }
+            WorkflowCommand::StartWave { spec, at } => {
+                let number = spec.number;
+                if self.waves.start(spec, at) {
+                    effects.push(WorkflowEffect::Wave(number));
+                }
+            }
+            WorkflowCommand::Upkeep { wave, host, stage } => {
+                self.waves.note(wave, &host, stage);
+                effects.push(WorkflowEffect::Wave(wave));
+            }
             WorkflowCommand::Forget { before } => self.forget(before),
         }
         effects
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -5,6 +5,7 @@
 mod ledger;
 mod occupancy;
 mod record;
+mod waves;
 
 pub use command::{LostRun, RunStart, SavedProgress, WorkflowCommand};
 pub use effect::{RunRef, WorkflowEffect};
@@ -13,3 +14,4 @@
 pub use record::{
     EndedWorkflow, Occurrence, Phase, StepRecord, TaskRecord, TaskState, Terms, Workflow,
 };
+pub use waves::{UpkeepStage, Wave, Waves};
--- a/crates/hg_link/src/workflow.rs
+++ b/crates/hg_link/src/workflow.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use hg_model::{
-    Catalog, Incarnation, UpstreamName, UpstreamReport, VitalSigns, WorkflowSpec, WorkflowState,
+    Catalog, Incarnation, UpstreamName, UpstreamReport, VitalSigns, WaveNumber, WaveSpec,
+    WaveState, WorkflowSpec, WorkflowState,
 };
 use serde::{Deserialize, Serialize};
 
@@ -56,6 +57,10 @@
     PutCatalog(Catalog),
     /// Read the catalog in force.
     GetCatalog,
+    /// Take a maintenance wave in.
+    StartWave(WaveSpec),
+    /// Tell how far a wave is.
+    WaveState(WaveNumber),
     /// An upstream's heartbeat.
     Heartbeat {
         /// What it says of itself.
@@ -105,7 +110,9 @@
     Unknown,
     /// How many workflows of the queue have not begun.
     Waiting(u64),
-    /// The catalog, or a higher version, is in force.
+    /// How far the wave is.
+    Wave(WaveState),
+    /// The catalog, or a higher version, is in force; or the wave is taken in.
     Stored,
     /// The operator's own text of the catalog in force.
     Catalog(Arc<str>),
--- a/crates/hg_model/src/lib.rs
+++ b/crates/hg_model/src/lib.rs
@@ -44,7 +44,8 @@
 pub use upstream::{UpstreamBeat, UpstreamSpec};
 pub use workflow::{
     AdviceTerms, Catalog, CatalogFault, Checkpoint, ClientAccount, ClockReading, EndKind,
-    Footprint, Incarnation, ListedRun, PoolSpec, QueueSpec, Route, RunEnd, RunListing, RunNumber,
-    Schedule, StepId, StepSpec, TargetSpec, TaskId, TaskIdError, UpstreamReport, VitalSigns,
-    WorkflowFault, WorkflowSpec, WorkflowState,
+    Footprint, HostReport, HostState, Incarnation, ListedRun, PoolSpec, QueueSpec, Route, RunEnd,
+    RunListing, RunNumber, Schedule, StepId, StepSpec, TargetSpec, TaskId, TaskIdError,
+    UpstreamReport, VitalSigns, WaveFault, WaveNumber, WaveSpec, WaveState, WorkflowFault,
+    WorkflowSpec, WorkflowState,
 };
--- a/crates/hg_model/src/workflow/mod.rs
+++ b/crates/hg_model/src/workflow/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`WorkflowSpec`] and [`StepSpec`] are what a caller hands in.
 //! * [`TaskId`], [`RunNumber`] and [`Checkpoint`] name a task, one start of it, and its saved progress.
+//! * [`WaveSpec`] asks for the upkeep of hosts, a few at a time.
 //! * [`Catalog`] holds the queues, pools and client accounts that operators maintain.
 //! * [`UpstreamReport`] is what an upstream says of itself; [`RunEnd`] how a run ended there.
 
@@ -13,6 +14,7 @@
 mod state;
 mod step;
 mod task;
+mod wave;
 
 pub use catalog::{Catalog, CatalogFault, ClientAccount, PoolSpec, Route};
 pub use footprint::Footprint;
@@ -22,3 +24,4 @@
 pub use state::WorkflowState;
 pub use step::{Schedule, StepSpec, TargetSpec, WorkflowFault, WorkflowSpec};
 pub use task::{Checkpoint, Incarnation, RunNumber, StepId, TaskId, TaskIdError};
+pub use wave::{HostReport, HostState, WaveFault, WaveNumber, WaveSpec, WaveState};
--- a/crates/hg_policy/src/lib.rs
+++ b/crates/hg_policy/src/lib.rs
@@ -40,5 +40,6 @@
 pub use scheduler::{Abort, Decisions, Refusal, Scheduler, Shortage};
 pub use wait::WaitReason;
 pub use workflow::{
-    Fleet, Rejection, RunStop, StopReason, WorkflowDecisions, WorkflowScheduler, admit,
+    AdviceAsk, Fleet, HostMove, PaceChange, Rejection, RunStop, StopReason, TicketBook,
+    UpkeepOrder, WorkflowDecisions, WorkflowScheduler, admit,
 };
--- a/crates/hg_policy/src/workflow/fleet.rs
+++ b/crates/hg_policy/src/workflow/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use hg_model::{Time, UpstreamName};
+use hg_model::{HostName, HostReport, Time, UpstreamName, UpstreamReport};
 
 /// Observations that decisions depend on.
 #[derive(Debug, Clone, Default)]
@@ -11,11 +11,20 @@
     pub shunned: BTreeSet<UpstreamName>,
     /// Upstreams that have said that they leave, and when they go at the earliest.
     pub leaving: BTreeMap<UpstreamName, Time>,
+    /// The hosts in the platform's list, as far as it was read.
+    pub hosts: BTreeMap<HostName, HostReport>,
+    /// Hosts that are about to change their pool.
+    pub moving: BTreeSet<HostName>,
 }
 
 impl Fleet {
     /// Whether an upstream may get new work.
-    pub fn is_usable(&self, upstream: &UpstreamName) -> bool {
-        !self.shunned.contains(upstream) && !self.leaving.contains_key(upstream)
+    pub fn is_usable(&self, upstream: &UpstreamReport) -> bool {
+        let name = &upstream.name;
+        let moves = upstream.host.as_ref().is_some_and(|host| self.moving.contains(host));
+        !upstream.leaving
+            && !moves
+            && !self.shunned.contains(name)
+            && !self.leaving.contains_key(name)
     }
 }
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -5,23 +5,38 @@
 //! * [`ready`](self) lists the steps whose turn has come and ranks them (load: more work than room).
 //! * `guarantee` tells which urgent work is covered (load: one account floods the pool with urgent work).
 //! * `placement` finds upstreams for a step (load: small tasks scattered over racks).
+//! * `held` keeps room that is being cleared (load: many urgent steps at the same time).
 //! * `reclaim` finds the cheapest work to stop for an urgent step (load: a full pool).
 //! * `evacuate` moves work off upstreams that are about to leave (load: a pool that is rolled).
 //! * `speed` learns which upstreams are slow or stand still (load: workers that slow down).
+//! * `pace` slows work that only fills gaps (load: fillers that disturb tasks with users of their own).
+//! * `tickets` asks another service where a step may run (load: a service that decides slowly).
+//! * `waves` and `availability` take hosts down for upkeep (load: maintenance of a busy pool).
+//! * `standby` fetches hosts and gives them back (load: more work than a pool holds, for a while).
 //! * `admission` turns away what can never run (load: jobs that no upstream can hold).
-//! * [`WorkflowScheduler`] ties them together and holds room that is being cleared.
+//! * [`WorkflowScheduler`] ties them together.
 
 mod admission;
+mod availability;
 mod evacuate;
 mod fleet;
 mod guarantee;
+mod held;
+mod pace;
 mod placement;
 mod ready;
 mod reclaim;
 mod room_map;
 mod scheduler;
 mod speed;
+mod standby;
+mod tickets;
+mod waves;
 
 pub use admission::{Rejection, admit};
 pub use fleet::Fleet;
+pub use pace::PaceChange;
 pub use scheduler::{RunStop, StopReason, WorkflowDecisions, WorkflowScheduler};
+pub use standby::HostMove;
+pub use tickets::{AdviceAsk, TicketBook};
+pub use waves::UpkeepOrder;
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -55,7 +55,12 @@
 
 /// The sets of upstreams to try, best first.
 pub(crate) fn scopes<'a>(now: Time, step: &ReadyStep<'_>, room: &RoomMap<'a>) -> Vec<Scope<'a>> {
-    let racks = room.racks(&step.job.terms.pool, step.spec);
+    let mut racks = room.racks(&step.job.terms.pool, step.spec);
+    if let Some(allowed) = &step.allowed {
+        for seats in racks.values_mut() {
+            seats.retain(|seat| allowed.contains(&seat.report.name));
+        }
+    }
     let names = |seats: &Vec<&Seat<'a>>| seats.iter().map(|s| &s.report.name).collect::<Vec<_>>();
     let near = |seats: &Vec<&Seat<'a>>| Scope { names: names(seats), is_near: true };
     let mut scopes = Vec::new();
--- a/crates/hg_policy/src/workflow/ready.rs
+++ b/crates/hg_policy/src/workflow/ready.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use hg_ledger::{Occurrence, StepRecord, TaskState, Workflow, WorkflowLedger};
-use hg_model::{JobId, RunNumber, StepId, StepSpec, Time};
+use hg_model::{JobId, RunNumber, StepId, StepSpec, Time, UpstreamName};
 
 /// How many times its latency objective a job may take before it is worth nothing.
 const LATE_FACTOR: u64 = 3;
@@ -47,6 +47,8 @@
     pub(crate) rank: Rank,
     /// When its turn came at the earliest.
     pub(crate) due: Time,
+    /// The upstreams that it may run on, if another service decides that.
+    pub(crate) allowed: Option<BTreeSet<UpstreamName>>,
 }
 
 impl ReadyStep<'_> {
@@ -115,7 +117,7 @@
             }
             let record = begun.and_then(|o| o.steps.get(usize::try_from(step).ok()?));
             let id = StepId { job: id.clone(), occurrence: number, step };
-            ready.push(ReadyStep { id, job, spec, record, waiting, rank, due });
+            ready.push(ReadyStep { id, job, spec, record, waiting, rank, due, allowed: None });
         }
     }
 }
--- a/crates/hg_policy/src/workflow/room_map.rs
+++ b/crates/hg_policy/src/workflow/room_map.rs
@@ -41,7 +41,7 @@
 
 impl<'a> RoomMap<'a> {
     pub(crate) fn new(ledger: &'a WorkflowLedger, fleet: &Fleet) -> Self {
-        let usable = |report: &&UpstreamReport| !report.leaving && fleet.is_usable(&report.name);
+        let usable = |report: &&UpstreamReport| fleet.is_usable(report);
         let seat = |report: &'a UpstreamReport| {
             let free = report.capacity.minus(&ledger.occupancy().used(&report.name));
             (&report.name, Seat { report, free, held: Footprint::default(), slower: false })
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -1,25 +1,27 @@
 //! The round of decisions.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
 use hg_ledger::{RunRef, RunStart, TaskState, WorkflowLedger};
-use hg_model::{EndKind, Footprint, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
+use hg_model::{EndKind, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
 
-use super::Fleet;
 use super::evacuate::evacuations;
 use super::guarantee::covered_jobs;
+use super::held::HeldRooms;
+use super::pace::PaceBook;
 use super::placement::place;
 use super::ready::{ReadyStep, ready_steps};
-use super::reclaim::clear_for;
-use super::room_map::{RoomMap, Seat};
+use super::reclaim::{Clearance, clear_for};
+use super::room_map::RoomMap;
 use super::speed::SpeedBook;
+use super::standby::StandbyBook;
+use super::waves::WaveBook;
+use super::{AdviceAsk, Fleet, HostMove, PaceChange, TicketBook, UpkeepOrder};
 use crate::{Health, HealthState};
 
-/// How long room is held for an urgent step while work is being stopped for it; a stop takes well under
-/// half a second, so by then something has gone wrong and another place is better.
-const HOLD_LIMIT: Duration = Duration::from_millis(1_500);
 /// How many different jobs must fail on an upstream in a row before it is put aside.
 const ASIDE_AFTER: usize = 2;
 /// How long it is put aside at first; doubled each time.
@@ -37,6 +39,9 @@
     /// Its upstream leaves before it could end.
     #[display("upstream leaves")]
     Evacuated,
+    /// Its host is to go down for upkeep.
+    #[display("upkeep of its host")]
+    Upkeep,
     /// An urgent step needs its room.
     #[display("room for an urgent step")]
     Reclaimed,
@@ -58,24 +63,35 @@
     pub starts: Vec<RunStart>,
     /// Runs to stop.
     pub stops: Vec<RunStop>,
-}
-
-/// Room that is being cleared for an urgent step.
-#[derive(Debug)]
-struct HeldRoom {
-    placements: BTreeMap<u32, UpstreamName>,
-    claim: Footprint,
-    until: Time,
+    /// Hosts that may go down for upkeep.
+    pub upkeeps: Vec<UpkeepOrder>,
+    /// Hosts that are to change their pool.
+    pub moves: Vec<HostMove>,
+    /// What to ask the service that decides where steps may run.
+    pub ask: Option<AdviceAsk>,
 }
 
 /// Decides which tasks start where and which runs stop.
 #[derive(Debug, Default)]
 pub struct WorkflowScheduler {
-    held: BTreeMap<StepId, HeldRoom>,
+    held: HeldRooms,
     /// Runs whose stop was decided, and when.
     stopping: BTreeMap<RunRef, Time>,
     health: Health,
     speeds: SpeedBook,
+    waves: WaveBook,
+    paces: PaceBook,
+    tickets: TicketBook,
+    standby: StandbyBook,
+}
+
+/// What one round works on.
+struct Round<'a> {
+    now: Time,
+    ledger: &'a WorkflowLedger,
+    covered: BTreeSet<JobId>,
+    room: RoomMap<'a>,
+    decisions: WorkflowDecisions,
 }
 
 /// Queries.
@@ -84,6 +100,11 @@
     pub fn is_aside(&self, now: Time, upstream: &UpstreamName) -> bool {
         matches!(self.health.state(now, upstream), HealthState::Aside(_))
     }
+
+    /// The tickets with which steps may start.
+    pub const fn tickets(&self) -> &TicketBook {
+        &self.tickets
+    }
 }
 
 /// Commands.
@@ -108,16 +129,17 @@
     pub fn note_closed(&mut self, run: &RunRef) {
         self.stopping.remove(run);
         self.speeds.forget(run);
+        self.paces.forget(&run.task);
     }
 
-    /// An upstream listed what runs there.
+    /// An upstream listed what runs there. Returns which fillers are to work at another pace.
     pub fn note_listing(
         &mut self,
         now: Time,
         ledger: &WorkflowLedger,
         upstream: &UpstreamName,
         listing: &RunListing,
-    ) {
+    ) -> Vec<PaceChange> {
         for listed in &listing.running {
             let step = &listed.task.step;
             let at = usize::try_from(step.step).ok();
@@ -125,6 +147,29 @@
             let estimate_ms = spec.map_or(0, |spec| spec.estimate_ms);
             self.speeds.note(now, upstream, listing.clock, listed, estimate_ms);
         }
+        self.paces.note(now, ledger, upstream, listing)
+    }
+
+    /// Nobody knows whether a change of pace arrived: it is decided anew.
+    pub fn note_pace_unsure(&mut self, task: &TaskId) {
+        self.paces.forget(task);
+    }
+
+    /// The service that decides where steps may run has answered: these upstreams, up to `until`.
+    pub fn note_advice(
+        &mut self,
+        ledger: &WorkflowLedger,
+        ask: &AdviceAsk,
+        allowed: &[(UpstreamName, Arc<str>)],
+        until: Time,
+    ) {
+        let lives = ledger.upstreams().values().map(|u| (u.name.clone(), u.incarnation));
+        self.tickets.note(ask, &lives.collect(), allowed, until);
+    }
+
+    /// An upstream turned a ticket away.
+    pub fn note_ticket_refused(&mut self, upstream: &UpstreamName) {
+        self.tickets.drop_tickets(upstream);
     }
 
     /// Decides what starts and stops at `now`.
@@ -134,186 +179,127 @@
         ledger: &WorkflowLedger,
         fleet: &Fleet,
     ) -> WorkflowDecisions {
-        let mut decisions = WorkflowDecisions::default();
-        self.stop_remains(now, ledger, &mut decisions);
-        self.stop_stragglers(now, ledger, &mut decisions);
-        for run in evacuations(now, ledger, fleet, &self.speeds) {
-            self.stop(now, run, StopReason::Evacuated, &mut decisions);
-        }
+        let covered = covered_jobs(ledger);
         let mut room = RoomMap::new(ledger, fleet);
         room.drop_all(self.speeds.too_slow(now));
         room.mark_slower(self.speeds.slower(now));
-        let covered = covered_jobs(ledger);
-        let ready = ready_steps(now, ledger, &covered);
-        self.drop_stale_holds(now, &ready, &room);
-        for held in self.held.values() {
-            for upstream in held.placements.values() {
-                room.hold(upstream, &held.claim);
-            }
-        }
+        let decisions = WorkflowDecisions::default();
+        let mut round = Round { now, ledger, covered, room, decisions };
+        self.stop_what_must_go(&mut round, fleet);
+        let ready = self.ready(&round);
+        self.held.drop_stale(now, &ready, &round.room);
+        self.held.hold_all(&mut round.room);
+        let mut unplaced = Vec::new();
         for step in &ready {
-            if self.held.contains_key(&step.id) {
-                self.start_held(step, ledger, &mut room, &mut decisions);
+            let all = if self.held.has(&step.id) {
+                self.start_held(step, &mut round)
             } else {
-                self.serve(now, step, ledger, &covered, &mut room, &mut decisions);
+                self.serve(step, &mut round)
+            };
+            if !all {
+                unplaced.push(step);
             }
         }
-        decisions
+        self.ask_for_tickets(&ready, &unplaced, &mut round);
+        let busy = round.decisions.starts.iter().map(|start| start.upstream.clone()).collect();
+        round.decisions.moves = self.standby.round(now, ledger, fleet, &unplaced, &busy);
+        round.decisions
     }
 
-    /// Stops what still runs of jobs that are over, and of gangs that lost a member.
-    fn stop_remains(
-        &mut self,
-        now: Time,
-        ledger: &WorkflowLedger,
-        decisions: &mut WorkflowDecisions,
-    ) {
-        for upstream in ledger.occupancy().upstreams() {
-            for (task, open) in ledger.occupancy().runs(upstream) {
-                if !is_unwanted(ledger, task) {
-                    continue;
-                }
-                let run = RunRef { upstream: upstream.clone(), task: task.clone(), run: open.run };
-                self.stop(now, run, StopReason::Unwanted, decisions);
-            }
+    /// The steps whose turn has come, with the upstreams that they are allowed on.
+    fn ready<'a>(&self, round: &Round<'a>) -> Vec<ReadyStep<'a>> {
+        let mut ready = ready_steps(round.now, round.ledger, &round.covered);
+        for step in ready.iter_mut().filter(|step| step.job.terms.advice.is_some()) {
+            step.allowed = Some(self.tickets.allowed(round.now, &step.id, &round.room));
         }
+        ready
     }
 
-    fn stop(
+    fn ask_for_tickets(
         &mut self,
-        now: Time,
-        run: RunRef,
-        reason: StopReason,
-        decisions: &mut WorkflowDecisions,
+        ready: &[ReadyStep<'_>],
+        unplaced: &[&ReadyStep<'_>],
+        round: &mut Round<'_>,
     ) {
-        if !self.stopping.contains_key(&run) {
-            self.stopping.insert(run.clone(), now);
-            decisions.stops.push(RunStop { run, reason });
-        }
+        let open: BTreeSet<&StepId> = ready.iter().map(|step| &step.id).collect();
+        self.tickets.keep(|step| open.contains(step));
+        let mut asks = unplaced.iter().filter_map(|step| self.tickets.ask(step, &round.room));
+        round.decisions.ask = asks.next();
     }
 
-    /// Stops what would end sooner elsewhere; the members of a gang go together.
-    fn stop_stragglers(
-        &mut self,
-        now: Time,
-        ledger: &WorkflowLedger,
-        decisions: &mut WorkflowDecisions,
-    ) {
+    /// Stops what has no use any more, what is better off elsewhere, and what has to leave its host.
+    fn stop_what_must_go(&mut self, round: &mut Round<'_>, fleet: &Fleet) {
+        let (now, ledger) = (round.now, round.ledger);
+        for run in remains(ledger) {
+            self.stop(run, StopReason::Unwanted, round);
+        }
         for run in self.speeds.stragglers(now, ledger) {
-            self.stop(now, run, StopReason::Straggler, decisions);
+            self.stop(run, StopReason::Straggler, round);
+        }
+        for run in evacuations(now, ledger, fleet, &self.speeds) {
+            self.stop(run, StopReason::Evacuated, round);
         }
+        let waves = self.waves.round(now, ledger, fleet, &self.speeds, &self.stopping);
+        round.room.drop_all(waves.clearing.iter());
+        for run in waves.stops {
+            self.stop(run, StopReason::Upkeep, round);
+        }
+        round.decisions.upkeeps = waves.upkeeps;
     }
 
-    fn drop_stale_holds(&mut self, now: Time, ready: &[ReadyStep<'_>], room: &RoomMap<'_>) {
-        let waiting: BTreeSet<&StepId> = ready.iter().map(|step| &step.id).collect();
-        self.held.retain(|step, held| {
-            let usable = held.placements.values().all(|name| room.seats.contains_key(name));
-            now < held.until && usable && waiting.contains(step)
-        });
+    fn stop(&mut self, run: RunRef, reason: StopReason, round: &mut Round<'_>) {
+        if !self.stopping.contains_key(&run) {
+            self.stopping.insert(run.clone(), round.now);
+            round.decisions.stops.push(RunStop { run, reason });
+        }
     }
 
-    /// Starts a step in the room that was cleared for it, as far as that is free.
-    fn start_held(
-        &mut self,
-        step: &ReadyStep<'_>,
-        ledger: &WorkflowLedger,
-        room: &mut RoomMap<'_>,
-        decisions: &mut WorkflowDecisions,
-    ) {
-        let Some(held) = self.held.get_mut(&step.id) else { return };
-        for upstream in held.placements.values() {
-            room.unhold(upstream, &held.claim);
-        }
-        let mut fitting = BTreeMap::new();
-        let mut trial = room.clone();
-        for (task, upstream) in &held.placements {
-            let free = trial.seats.get(upstream).map(Seat::open).unwrap_or_default();
-            if step.waiting.contains(task) && held.claim.fits(&free) {
-                trial.take(upstream, &held.claim);
-                fitting.insert(*task, upstream.clone());
-            }
-        }
-        let all = fitting.len() == held.placements.len();
-        if step.spec.gang && !all {
-            fitting.clear();
-        }
-        for task in fitting.keys() {
-            held.placements.remove(task);
-        }
-        for upstream in held.placements.values() {
-            room.hold(upstream, &held.claim);
-        }
-        if held.placements.is_empty() {
-            self.held.remove(&step.id);
-        }
-        start(step, &fitting, ledger, room, decisions);
+    /// Starts a step in the room that was cleared for it. Returns whether all of it has started.
+    fn start_held(&mut self, step: &ReadyStep<'_>, round: &mut Round<'_>) -> bool {
+        let fitting = self.held.take_free(step, &mut round.room);
+        let all = fitting.len() == step.waiting.len();
+        start(step, &fitting, round);
+        all
     }
 
-    fn serve(
-        &mut self,
-        now: Time,
-        step: &ReadyStep<'_>,
-        ledger: &WorkflowLedger,
-        covered: &BTreeSet<JobId>,
-        room: &mut RoomMap<'_>,
-        decisions: &mut WorkflowDecisions,
-    ) {
-        let placed = place(now, step, room);
+    /// Starts what fits; for an urgent step that does not fit, room is cleared. Returns whether all fits.
+    fn serve(&mut self, step: &ReadyStep<'_>, round: &mut Round<'_>) -> bool {
+        let placed = place(round.now, step, &round.room);
         let all = placed.len() == step.waiting.len();
         if all || !step.is_urgent() {
-            start(step, &placed, ledger, room, decisions);
-            return;
+            start(step, &placed, round);
+            return all;
         }
-        let mut clearance = clear_for(now, step, room, ledger, &self.stopping, covered);
-        if clearance.is_none() && step.is_covered() && self.give_up_holds(covered, room) {
-            clearance = clear_for(now, step, room, ledger, &self.stopping, covered);
+        let mut clearance = self.clear(step, round);
+        if clearance.is_none() && step.is_covered() {
+            let Round { covered, room, .. } = round;
+            if self.held.give_up(|step| !covered.contains(&step.job), room) {
+                clearance = self.clear(step, round);
+            }
         }
         let Some(clearance) = clearance else {
-            start(step, &placed, ledger, room, decisions);
-            return;
+            start(step, &placed, round);
+            return false;
         };
-        let claim = step.spec.claim();
-        for upstream in clearance.placements.values() {
-            room.hold(upstream, &claim);
-        }
         for run in clearance.stops {
-            self.stop(now, run, StopReason::Reclaimed, decisions);
+            self.stop(run, StopReason::Reclaimed, round);
         }
-        let until = now.after(HOLD_LIMIT);
-        let held = HeldRoom { placements: clearance.placements, claim, until };
-        self.held.insert(step.id.clone(), held);
+        self.held.hold(round.now, step, clearance.placements, &mut round.room);
+        false
     }
-}
 
-impl WorkflowScheduler {
-    /// Gives up the room held for urgent steps that no guarantee covers. Returns whether there was any.
-    fn give_up_holds(&mut self, covered: &BTreeSet<JobId>, room: &mut RoomMap<'_>) -> bool {
-        let before = self.held.len();
-        self.held.retain(|step, held| {
-            let keeps = covered.contains(&step.job);
-            if !keeps {
-                for upstream in held.placements.values() {
-                    room.unhold(upstream, &held.claim);
-                }
-            }
-            keeps
-        });
-        self.held.len() < before
+    fn clear(&self, step: &ReadyStep<'_>, round: &Round<'_>) -> Option<Clearance> {
+        let Round { now, ledger, covered, room, .. } = round;
+        clear_for(*now, step, room, ledger, &self.stopping, covered)
     }
 }
 
-fn start(
-    step: &ReadyStep<'_>,
-    placed: &BTreeMap<u32, UpstreamName>,
-    ledger: &WorkflowLedger,
-    room: &mut RoomMap<'_>,
-    decisions: &mut WorkflowDecisions,
-) {
+fn start(step: &ReadyStep<'_>, placed: &BTreeMap<u32, UpstreamName>, round: &mut Round<'_>) {
     let claim = step.spec.claim();
     for (index, upstream) in placed {
-        let Some(report) = ledger.upstreams().get(upstream) else { continue };
-        room.take(upstream, &claim);
-        decisions.starts.push(RunStart {
+        let Some(report) = round.ledger.upstreams().get(upstream) else { continue };
+        round.room.take(upstream, &claim);
+        round.decisions.starts.push(RunStart {
             task: TaskId { step: step.id.clone(), index: *index },
             run: step.next_run(*index),
             upstream: upstream.clone(),
@@ -322,6 +308,20 @@
     }
 }
 
+/// What still runs of jobs that are over, and of gangs that lost a member.
+fn remains(ledger: &WorkflowLedger) -> Vec<RunRef> {
+    let mut remains = Vec::new();
+    for upstream in ledger.occupancy().upstreams() {
+        let unwanted = ledger.occupancy().runs(upstream).filter(|(t, _)| is_unwanted(ledger, t));
+        remains.extend(unwanted.map(|(task, open)| RunRef {
+            upstream: upstream.clone(),
+            task: task.clone(),
+            run: open.run,
+        }));
+    }
+    remains
+}
+
 /// Whether a run has no use any more: its job is over, or its gang lost a member.
 fn is_unwanted(ledger: &WorkflowLedger, task: &TaskId) -> bool {
     let Some(job) = ledger.job(&task.step.job) else { return true };
--- a/crates/hg_policy/src/workflow/speed.rs
+++ b/crates/hg_policy/src/workflow/speed.rs
@@ -90,6 +90,11 @@
         self.upstreams.keys().filter(slow)
     }
 
+    /// Whether a task that lasts is at work, by its last listing.
+    pub(crate) fn is_at_work(&self, task: &TaskId, run: RunNumber) -> bool {
+        self.tracks.get(task).is_some_and(|track| track.run == run && track.last.0 >= 100)
+    }
+
     /// How much longer a run takes where it is, by its own pace or else by its caller's estimate.
     pub(crate) fn time_left(
         &self,
--- a/crates/hg_policy/tests/workflow_support/mod.rs
+++ b/crates/hg_policy/tests/workflow/bench.rs
@@ -4,9 +4,9 @@
 
 use hg_ledger::{RunRef, RunStart, Terms, WorkflowCommand, WorkflowEffect, WorkflowLedger};
 use hg_model::{
-    AccountName, Catalog, ClientAccount, DataCentreName, EndKind, Footprint, Incarnation, JobId,
-    Label, PoolName, QueueName, RackName, RunEnd, StepSpec, Time, UpstreamName, UpstreamReport,
-    WorkflowSpec, WorkflowState,
+    AccountName, AdviceTerms, Catalog, ClientAccount, DataCentreName, EndKind, Footprint, HostName,
+    Incarnation, JobId, Label, PoolName, QueueName, RackName, RunEnd, StepSpec, Time, UpstreamName,
+    UpstreamReport, WorkflowSpec, WorkflowState,
 };
 use hg_policy::{Fleet, WorkflowDecisions, WorkflowScheduler};
 
@@ -24,6 +24,8 @@
     pub fleet: Fleet,
     /// The present time.
     pub now: Time,
+    /// What holds for steps that are submitted from now on.
+    pub advice: Option<AdviceTerms>,
     ends: u64,
 }
 
@@ -31,6 +33,11 @@
     UpstreamName::new(format!("u{number}")).expect("a good name")
 }
 
+/// The host of the upstream with the same number.
+pub fn host(number: u32) -> HostName {
+    HostName::new(format!("m{number}")).expect("a good name")
+}
+
 pub fn job(name: &str) -> JobId {
     JobId::new(name).expect("a good name")
 }
@@ -43,6 +50,7 @@
             scheduler: WorkflowScheduler::new(),
             fleet: Fleet::default(),
             now: Time(1_000_000),
+            advice: None,
             ends: 0,
         };
         for number in 0..racks * per_rack {
@@ -61,6 +69,11 @@
         effects
     }
 
+    /// An upstream joins the first rack.
+    pub fn register(&mut self, number: u32) {
+        self.apply(WorkflowCommand::Register(report(number, 0)));
+    }
+
     pub fn submit(&mut self, name: &str, priority: u32, steps: Vec<StepSpec>) {
         self.submit_for("lindqvist", name, priority, steps);
     }
@@ -89,7 +102,7 @@
             attempts: 2,
             stretch_milli: 3_000,
             objective_ms: 1_000,
-            advice: None,
+            advice: self.advice,
         };
         let spec = WorkflowSpec { content: Arc::from("work"), steps, schedule: None };
         let account = AccountName::new(account).ok();
@@ -143,7 +156,7 @@
         name: upstream(number),
         incarnation: Incarnation(1),
         address: format!("127.0.0.1:{}", 9_000 + number).parse().expect("a good address"),
-        host: None,
+        host: Some(host(number)),
         pool: PoolName::new("pool").expect("a good name"),
         data_centre: DataCentreName::new("north").expect("a good name"),
         rack: RackName::new(&rack).expect("a good name"),
--- a/crates/hg_policy/tests/workflow_rounds.rs
+++ b/crates/hg_policy/tests/workflow/rounds.rs
@@ -1,14 +1,12 @@
-//! Rounds of decisions about workflows, each replaying one load pattern.
-
-mod workflow_support;
+//! What starts where, and what stops.
 
+use crate::bench::{Bench, job, run_of, upstream};
 use hg_ledger::{RunRef, SavedProgress, WorkflowCommand};
 use hg_model::{
     Checkpoint, ClockReading, EndKind, Footprint, Incarnation, ListedRun, RunListing, StepSpec,
     Time, WorkflowState,
 };
 use hg_policy::WorkflowDecisions;
-use workflow_support::{Bench, job, run_of, upstream};
 
 const WHOLE: Footprint = Footprint::new(8, 8_000, 16_384);
 const SINGLE: Footprint = Footprint::new(1, 2_800, 8_200);
