The way to the leader, its watch and the limits of doors move from the adapter into the product

Decisions stood in platform/: whom to ask first, when an entry is ready, how often settings are read, how long calls wait, how a process drains.

--- a/platform/src/control_way.rs
+++ b/crates/hg_control/src/leader_way.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use hg_control::Driver;
 use hg_link::{ControlClient, Reply, Request, WorkflowReply, WorkflowRequest};
 
+use crate::Driver;
+
 /// Why no reply came.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum NoReply {
@@ -21,12 +22,12 @@
 
 /// Asks the leader: the core of this process if it leads, else whoever does.
 #[derive(Debug, Clone)]
-pub struct ControlWay {
+pub struct LeaderWay {
     client: Arc<ControlClient>,
     own: Option<(Driver, SocketAddr)>,
 }
 
-impl ControlWay {
+impl LeaderWay {
     /// A process without a core.
     pub const fn new(client: Arc<ControlClient>) -> Self {
         Self { client, own: None }
@@ -49,6 +50,11 @@
         &self.client
     }
 
+    /// Learns of control hosts that the settings name.
+    pub fn learn(&self, seeds: Option<Vec<SocketAddr>>) {
+        self.client.learn(seeds.into_iter().flatten());
+    }
+
     /// Asks, for as long as `limit`.
     ///
     /// # Errors
--- a/crates/hg_control/src/lib.rs
+++ b/crates/hg_control/src/lib.rs
@@ -4,15 +4,19 @@
 //!   [`Disk`](hg_replica::Disk): events go in, [`Actions`] come out.
 //! * [`FileDisk`] keeps the log in one file.
 //! * [`UpstreamDriver`] carries orders about workflows to upstreams, whatever protocol they speak.
+//! * [`LeaderWay`] asks the leader from any process, [`watch_leader`] keeps in touch with it.
 //! * [`ControlProcess`] is a running process; [`run`] wires the core to links, signals and the metrics page.
 
 mod clock;
 mod core;
+mod door_limits;
 mod drive;
 mod entries;
 mod file_disk;
 mod found;
 mod http;
+mod leader_watch;
+mod leader_way;
 mod leading;
 mod links;
 mod requests;
@@ -22,9 +26,12 @@
 
 pub use clock::Clock;
 pub use core::{Actions, Core, CoreConfig, Event, Ticket, WorkflowConfig};
+pub use door_limits::{DrainPlan, HEARTBEAT_LIMIT, OPERATOR_LIMIT, caller_limit};
 pub use drive::Driver;
 pub use file_disk::FileDisk;
 pub use found::{FoundError, Founder, found};
+pub use leader_watch::watch_leader;
+pub use leader_way::{LeaderWay, NoReply};
 pub use links::Drivers;
 pub use run::{ControlParts, ControlProcess, run, run_found};
 pub use workflow::{
--- /dev/null
+++ b/crates/hg_control/tests/door_limits.rs
@@ -0,0 +1,25 @@
+//! How long calls wait, and how a process drains.
+
+use std::time::Duration;
+
+use hg_control::{DrainPlan, caller_limit};
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn caller_limit_leaves_time_for_the_way_back() {
+    assert_eq!(caller_limit(Some(2_000)), ms(1_750));
+    assert_eq!(caller_limit(None), ms(2_750));
+    assert_eq!(caller_limit(Some(10)), ms(250), "an answer is tried in any case");
+}
+
+#[test]
+fn drain_plan_fits_into_the_grace() {
+    for grace in [ms(500), ms(2_000), ms(6_000), ms(30_000)] {
+        let plan = DrainPlan::new(grace);
+        assert!(plan.last_callers + plan.rest <= grace, "{plan:?}");
+    }
+    assert!(DrainPlan::new(ms(6_000)).last_callers >= ms(2_000), "two health checks");
+}
