A gang does not wait for the lease of a member that must have ended

A member can only end as broken because another ended, so the only one left unheard has. Ruled out: the refused connection as proof, since a cut may refuse as well. Starts in doubt still wait. Test failed first: gang_that_lost_a_member_for_good_does_not_wait_for_its_lease (it also found the lost upstream used again).

--- a/crates/hg_control/src/workflow/lead.rs
+++ b/crates/hg_control/src/workflow/lead.rs
@@ -9,6 +9,7 @@
 use hg_replica::Disk;
 use slog::{debug, info, warn};
 
+use super::broken_gangs::BrokenGangs;
 use super::duties::{Duties, hosts_taken_down};
 use super::sessions::{Sessions, Work};
 use super::{DutyReport, HostOrderResult, OrderReport, OrderResult, StartRefusal};
@@ -28,6 +29,7 @@
     pub(crate) sessions: Sessions,
     pub(crate) scheduler: WorkflowScheduler,
     pub(crate) duties: Duties,
+    broken_gangs: BrokenGangs,
     /// Starts that are proposed and not applied yet.
     undecided: usize,
     /// Whether something changed since the last round.
@@ -42,6 +44,7 @@
             sessions,
             scheduler: WorkflowScheduler::new(),
             duties: Duties::new(now, term),
+            broken_gangs: BrokenGangs::default(),
             undecided: 0,
             changed: true,
             decided_at: Time(0),
@@ -62,6 +65,8 @@
         let Some(lead) = self.workflows.as_mut() else { return };
         let mut work = Work::default();
         let ledger = self.ledger.workflows();
+        let unheard = lead.broken_gangs.ended_unheard(ledger);
+        lead.sessions.lose_ended(now, &unheard, &mut work);
         lead.sessions.advance(now, ledger, lead.scheduler.tickets(), &mut work);
         self.actions.duties.extend(lead.duties.advance(now, ledger));
         self.carry_out_work(now, work);
@@ -224,6 +229,7 @@
             WorkflowEffect::Opened(run) => lead.sessions.open_run(run),
             WorkflowEffect::Closed(run) => {
                 lead.sessions.close_run(run);
+                lead.broken_gangs.note_closed(run);
                 lead.scheduler.note_closed(run);
             }
             WorkflowEffect::Registered(name) => {
@@ -249,6 +255,7 @@
         if let WorkflowCommand::Ends { upstream, incarnation, ends, .. } = command {
             for end in ends {
                 lead.scheduler.note_end(now, upstream, &end.task.step.job, end.kind);
+                lead.broken_gangs.note_end(end);
             }
             let upto = ends.last().map_or(0, |end| end.number);
             lead.sessions.note_ends(now, upstream, *incarnation, upto);
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -6,6 +6,7 @@
 //! * `Sessions` holds all of them; `dispatch` turns what is due into orders, `reports` takes in what
 //!   comes of them.
 
+mod broken_gangs;
 mod dispatch;
 mod duties;
 mod duty;
--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -41,7 +41,7 @@
         }
         _ => {
             session.note_silence(now);
-            session.renew_at = now;
+            session.renew_at = session.retry_at;
         }
     }
 }
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -9,7 +9,7 @@
 
 use super::dispatch::Dispatch;
 use super::reports::{on_renewal, on_run_report};
-use super::session::{RunSession, Session, StartStage, StopStage};
+use super::session::{RunSession, SUSPECT, Session, StartStage, StopStage};
 use super::{Order, OrderId, OrderReport, OrderResult};
 
 /// How long acknowledgements for an idle upstream wait for more of them.
@@ -203,6 +203,27 @@
         }
     }
 
+    /// Gives up runs that have ended although their upstreams do not say so.
+    ///
+    /// A start that nobody answered might still be carried out, so such runs are kept.
+    pub(crate) fn lose_ended(&mut self, now: Time, ended: &[RunRef], work: &mut Work) {
+        let mut lost = Vec::new();
+        for RunRef { upstream, task, run } in ended {
+            let Some(session) = self.sessions.get_mut(upstream) else { continue };
+            let known = session.runs.get_mut(task).filter(|known| known.run == *run);
+            let Some(known) = known else { continue };
+            let is_certain = known.start == StartStage::Settled && !known.in_doubt;
+            if is_certain && !known.is_losing(now) {
+                known.note_losing(now);
+                lost.push(known.lost(task, upstream));
+                session.suspect_until = now.after(SUSPECT);
+            }
+        }
+        if !lost.is_empty() {
+            work.commands.push(WorkflowCommand::Lose { runs: lost, at: now });
+        }
+    }
+
     /// Turns what is due into orders and commands.
     pub(crate) fn advance(
         &mut self,
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -2,6 +2,7 @@
 
 mod workflow_world;
 
+use hg_model::{Footprint, StepSpec, WorkflowSpec};
 use workflow_world::{Faults, World};
 
 /// Seeds of each mix; `HG_SEEDS` plays more.
@@ -106,3 +107,17 @@
 fn runs_with_gaps_in_the_lease() {
     play(Faults { gaps: 500, failing: 30, ..Faults::default() });
 }
+
+#[test]
+fn gang_that_lost_a_member_for_good_does_not_wait_for_its_lease() {
+    let mut world = World::new(1, Faults::default());
+    let whole = Footprint::new(8, 2_000, 4_096);
+    let gang = StepSpec { estimate_ms: 1_500, ..StepSpec::new(3, whole) }.with_gang();
+    world.submit_spec(0, WorkflowSpec::new("work", vec![gang]));
+    world.run(200);
+    assert_eq!(world.running(), 3);
+    let victim = world.busy().next().expect("it runs somewhere");
+    world.lose_upstream(victim);
+    world.run(1_000);
+    assert_eq!(world.running(), 3, "it has started again on the others");
+}
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// The upstreams on which something runs, by number.
+    pub fn busy(&self) -> impl Iterator<Item = u32> {
+        let busy = self.upstreams.values().filter(|upstream| !upstream.all_runs().is_empty());
+        busy.filter_map(|upstream| upstream.name.as_str()[1..].parse().ok())
+    }
+
     /// How many runs are in progress.
     pub fn running(&self) -> usize {
         self.upstreams.values().map(|upstream| upstream.all_runs().len()).sum()
@@ -179,8 +185,21 @@
 
     /// Hands in a workflow drawn by lot.
     pub fn submit(&mut self, number: u32) {
-        let id = JobId::new(format!("job-{number}")).expect("a good name");
         let spec = self.draw_spec(number);
+        self.submit_spec(number, spec);
+    }
+
+    /// One upstream is gone for good, with everything that runs on it.
+    pub fn lose_upstream(&mut self, number: u32) {
+        let victim = name(number);
+        self.break_gangs_of(&victim);
+        self.oracle.died(&victim);
+        self.upstreams.remove(&victim);
+    }
+
+    /// Hands in a workflow.
+    pub fn submit_spec(&mut self, number: u32, spec: WorkflowSpec) {
+        let id = JobId::new(format!("job-{number}")).expect("a good name");
         self.oracle.submitted(id.as_str(), &spec);
         self.states.insert(id.clone(), None);
         self.specs.insert(id.clone(), spec.clone());
