--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -5,6 +5,7 @@
 //! * [`ready`](self) lists the steps whose turn has come and ranks them (load: more work than room).
 //! * `guarantee` tells which urgent work is covered (load: one account floods the pool with urgent work).
 //! * `placement` finds upstreams for a step (load: small tasks scattered over racks).
+//! * `headroom` keeps upstreams free for urgent work to come (load: waves of urgent work on a full pool).
 //! * `held` keeps room that is being cleared (load: many urgent steps at the same time).
 //! * `reclaim` finds the cheapest work to stop for an urgent step (load: a full pool).
 //! * `evacuate` moves work off upstreams that are about to leave (load: a pool that is rolled).
@@ -21,6 +22,7 @@
 mod evacuate;
 mod fleet;
 mod guarantee;
+mod headroom;
 mod held;
 mod pace;
 mod placement;
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -115,6 +115,7 @@
     for task in &step.waiting {
         let fits = |seat: &&mut Seat<'_>| {
             (with_slower || !seat.slower)
+                && (!seat.reserved || step.is_urgent())
                 && claim.fits(&seat.open())
                 && has_turn(step, &counts, &seat.report.name)
         };
--- a/crates/hg_policy/src/workflow/room_map.rs
+++ b/crates/hg_policy/src/workflow/room_map.rs
@@ -17,6 +17,8 @@
     pub(crate) held: Footprint,
     /// Whether it is slower than usual.
     pub(crate) slower: bool,
+    /// Whether only urgent work may start here.
+    pub(crate) reserved: bool,
 }
 
 impl Seat<'_> {
@@ -44,7 +46,8 @@
         let usable = |report: &&UpstreamReport| fleet.is_usable(report);
         let seat = |report: &'a UpstreamReport| {
             let free = report.capacity.minus(&ledger.occupancy().used(&report.name));
-            (&report.name, Seat { report, free, held: Footprint::default(), slower: false })
+            let held = Footprint::default();
+            (&report.name, Seat { report, free, held, slower: false, reserved: false })
         };
         Self { seats: ledger.upstreams().values().filter(usable).map(seat).collect() }
     }
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -10,6 +10,7 @@
 
 use super::evacuate::evacuations;
 use super::guarantee::covered_jobs;
+use super::headroom::Headroom;
 use super::held::HeldRooms;
 use super::pace::PaceBook;
 use super::placement::place;
@@ -83,6 +84,7 @@
     paces: PaceBook,
     tickets: TicketBook,
     standby: StandbyBook,
+    headroom: Headroom,
 }
 
 /// What one round works on.
@@ -189,6 +191,7 @@
         let ready = self.ready(&round);
         self.held.drop_stale(now, &ready, &round.room);
         self.held.hold_all(&mut round.room);
+        self.headroom.reserve(now, ledger, &mut round.room);
         let mut unplaced = Vec::new();
         for step in &ready {
             let all = if self.held.has(&step.id) {
--- a/crates/hg_policy/tests/workflow/rounds.rs
+++ b/crates/hg_policy/tests/workflow/rounds.rs
@@ -360,3 +360,31 @@
     bench.submit("quote", 0, vec![urgent_gang(1)]);
     assert!(bench.round(10).stops.is_empty(), "the cancelled job makes room");
 }
+
+#[test]
+fn small_pool_keeps_no_room_free() {
+    let mut bench = Bench::new(1, 2);
+    bench.submit("quote", 0, vec![urgent_gang(1)]);
+    let run = run_of(&bench.round(0).starts[0]);
+    bench.end(&run, EndKind::Done);
+    bench.submit("sweep", 2, vec![patient(16)]);
+    assert_eq!(bench.round(100).starts.len(), 16);
+}
+
+#[test]
+fn room_of_the_last_urgent_peak_is_kept_free_for_a_while() {
+    let mut bench = Bench::new(1, 10);
+    bench.submit("quote", 0, vec![urgent_gang(1)]);
+    let run = run_of(&bench.round(0).starts[0]);
+    bench.round(100);
+    bench.end(&run, EndKind::Done);
+    bench.submit("sweep", 2, vec![patient(80)]);
+    assert_eq!(bench.round(100).starts.len(), 72, "one upstream is kept free");
+    bench.submit("quote-2", 0, vec![urgent_gang(1)]);
+    let round = bench.round(100);
+    assert_eq!((round.starts.len(), round.stops.len()), (1, 0), "at once, and nothing is stopped");
+    let quote = run_of(&round.starts[0]);
+    bench.end(&quote, EndKind::Done);
+    let later: usize = (0..24).map(|_| bench.round(500).starts.len()).sum();
+    assert_eq!(later, 8, "nothing urgent has come for long");
+}
