--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -17,7 +17,7 @@
 use super::ready::{ReadyStep, ready_steps};
 use super::reclaim::{Clearance, clear_for};
 use super::room_map::RoomMap;
-use super::speed::SpeedBook;
+use super::speed::{Expected, SpeedBook};
 use super::standby::StandbyBook;
 use super::waves::WaveBook;
 use super::{AdviceAsk, Fleet, HostMove, PaceChange, TicketBook, UpkeepOrder};
@@ -145,9 +145,13 @@
         for listed in &listing.running {
             let step = &listed.task.step;
             let at = usize::try_from(step.step).ok();
-            let spec = ledger.job(&step.job).and_then(|job| job.spec.steps.get(at?));
-            let estimate_ms = spec.map_or(0, |spec| spec.estimate_ms);
-            self.speeds.note(now, upstream, listing.clock, listed, estimate_ms);
+            let job = ledger.job(&step.job);
+            let spec = job.and_then(|job| job.spec.steps.get(at?));
+            let expected = Expected {
+                queue: job.map(|job| &job.terms.queue),
+                estimate_ms: spec.map_or(0, |spec| spec.estimate_ms),
+            };
+            self.speeds.note(now, upstream, listing.clock, listed, expected);
         }
         self.paces.note(now, ledger, upstream, listing)
     }
--- a/crates/hg_policy/tests/workflow/rounds.rs
+++ b/crates/hg_policy/tests/workflow/rounds.rs
@@ -388,3 +388,92 @@
     let later: usize = (0..24).map(|_| bench.round(500).starts.len()).sum();
     assert_eq!(later, 8, "nothing urgent has come for long");
 }
+
+#[test]
+fn gang_with_a_member_that_never_moves_starts_again() {
+    let mut bench = Bench::new(1, 4);
+    bench.submit("gang", 1, vec![urgent_gang(3)]);
+    let runs: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    let stuck = runs[0].upstream.clone();
+    let percent = |run: &RunRef, moved| if run.upstream == stuck { 0 } else { moved };
+    list(&mut bench, &runs, |_| 0);
+    bench.round(300);
+    list(&mut bench, &runs, |run| percent(run, 5));
+    bench.round(600);
+    list(&mut bench, &runs, |run| percent(run, 30));
+    assert!(bench.round(0).stops.is_empty(), "it may still load");
+    bench.round(700);
+    list(&mut bench, &runs, |run| percent(run, 60));
+    assert_eq!(stopped(bench.round(0)), vec![runs[0].clone()]);
+}
+
+#[test]
+fn gang_that_waits_for_a_member_is_not_taken_for_one_that_never_moves() {
+    let mut bench = Bench::new(1, 4);
+    bench.submit("gang", 1, vec![urgent_gang(3)]);
+    let runs: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    for _ in 0..6 {
+        list(&mut bench, &runs, |_| 0);
+        assert!(bench.round(500).stops.is_empty());
+    }
+}
+
+#[test]
+fn single_task_that_never_moves_starts_again_elsewhere() {
+    let mut bench = Bench::new(1, 2);
+    bench.submit("sweep", 2, vec![patient(1)]);
+    let runs: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    list(&mut bench, &runs, |_| 0);
+    bench.round(1_400);
+    list(&mut bench, &runs, |_| 0);
+    assert!(bench.round(0).stops.is_empty(), "it may still load");
+    bench.round(800);
+    list(&mut bench, &runs, |_| 0);
+    assert_eq!(stopped(bench.round(0)), runs);
+    bench.end(&runs[0], EndKind::Stopped);
+    let again = bench.round(10).starts;
+    assert_ne!(again[0].upstream, runs[0].upstream);
+}
+
+/// Runs one task alone to its end, at the pace of a run time of `ms`.
+fn run_alone(bench: &mut Bench, name: &str, ms: u64) {
+    bench.submit(name, 2, vec![patient(1)]);
+    let run = run_of(&bench.round(0).starts[0]);
+    for percent in [1, 51, 99] {
+        list(bench, std::slice::from_ref(&run), |_| percent);
+        bench.round(ms / 2);
+    }
+    bench.end(&run, EndKind::Done);
+}
+
+#[test]
+fn single_task_far_beyond_what_is_usual_in_its_queue_starts_again() {
+    let mut bench = Bench::new(1, 2);
+    for number in 0..8 {
+        run_alone(&mut bench, &format!("sweep-{number}"), 6_000);
+    }
+    bench.submit("slow", 2, vec![patient(1)]);
+    let run = run_of(&bench.round(0).starts[0]);
+    list(&mut bench, std::slice::from_ref(&run), |_| 1);
+    bench.round(4_000);
+    list(&mut bench, std::slice::from_ref(&run), |_| 14);
+    assert_eq!(stopped(bench.round(0)), vec![run]);
+}
+
+#[test]
+fn single_task_of_a_queue_with_bad_estimates_is_left_alone() {
+    let mut bench = Bench::new(1, 2);
+    for number in 0..8 {
+        run_alone(
+            &mut bench,
+            &format!("sweep-{number}"),
+            if number % 2 == 0 { 2_000 } else { 24_000 },
+        );
+    }
+    bench.submit("slow", 2, vec![patient(1)]);
+    let run = run_of(&bench.round(0).starts[0]);
+    list(&mut bench, std::slice::from_ref(&run), |_| 1);
+    bench.round(4_000);
+    list(&mut bench, std::slice::from_ref(&run), |_| 14);
+    assert!(bench.round(0).stops.is_empty());
+}
