--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -7,6 +7,7 @@
 //! * `placement` finds upstreams for a step (load: small tasks scattered over racks).
 //! * `headroom` keeps upstreams free for urgent work to come (load: waves of urgent work on a full pool).
 //! * `held` keeps room that is being cleared (load: many urgent steps at the same time).
+//! * `reservation` lets room drain for gangs (load: small tasks that take all room as it becomes free).
 //! * `reclaim` finds the cheapest work to stop for an urgent step (load: a full pool).
 //! * `evacuate` moves work off upstreams that are about to leave (load: a pool that is rolled).
 //! * `speed` learns which upstreams are slow or stand still (load: workers that slow down).
@@ -28,6 +29,7 @@
 mod placement;
 mod ready;
 mod reclaim;
+mod reservation;
 mod room_map;
 mod scheduler;
 mod speed;
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -9,6 +9,7 @@
 use hg_model::{Time, UpstreamName};
 
 use super::ready::ReadyStep;
+use super::reservation::Reservation;
 use super::room_map::{RoomMap, Seat};
 
 /// How long a step waits for its best rack before it takes a slower place, as a share of the task's
@@ -40,7 +41,7 @@
     for is_near in [true, false] {
         for with_slower in passes.iter().copied() {
             for scope in scopes.iter().filter(|scope| scope.is_near == is_near) {
-                let placed = fill(step, &scope.names, room, with_slower);
+                let placed = fill(now, step, &scope.names, room, with_slower);
                 if placed.len() == step.waiting.len() {
                     return placed;
                 }
@@ -102,6 +103,7 @@
 
 /// Puts as many waiting tasks as possible into a scope, each where it leaves the least room.
 pub(crate) fn fill(
+    now: Time,
     step: &ReadyStep<'_>,
     scope: &[&UpstreamName],
     room: &RoomMap<'_>,
@@ -115,7 +117,7 @@
     for task in &step.waiting {
         let fits = |seat: &&mut Seat<'_>| {
             (with_slower || !seat.slower)
-                && (!seat.reserved || step.is_urgent())
+                && may_use(now, step, seat)
                 && claim.fits(&seat.open())
                 && has_turn(step, &counts, &seat.report.name)
         };
@@ -132,6 +134,12 @@
     placed
 }
 
+/// Whether what is kept free on an upstream for others lets a task of the step start there.
+fn may_use(now: Time, step: &ReadyStep<'_>, seat: &Seat<'_>) -> bool {
+    let beside = |reservation: Reservation| reservation.allows(now, &seat.open(), step);
+    step.is_urgent() || (!seat.reserved && seat.reservation.is_none_or(beside))
+}
+
 /// How many of the step's tasks run on each upstream.
 pub(crate) fn running_counts(step: &ReadyStep<'_>) -> BTreeMap<UpstreamName, u32> {
     let mut counts = BTreeMap::new();
--- a/crates/hg_policy/src/workflow/ready.rs
+++ b/crates/hg_policy/src/workflow/ready.rs
@@ -56,6 +56,11 @@
         self.job.terms.priority == 0
     }
 
+    /// Whether it is too late for its job to be of use.
+    pub(crate) fn is_overdue(&self) -> bool {
+        self.rank.outlook == Outlook::Overdue
+    }
+
     /// Whether its account's guarantee covers it.
     pub(crate) const fn is_covered(&self) -> bool {
         self.is_urgent() && !self.rank.is_uncovered
--- /dev/null
+++ b/crates/hg_policy/src/workflow/reservation.rs
@@ -0,0 +1,114 @@
+//! Room that is left to drain for gangs that find none.
+//!
+//! Answers the load in which small tasks take every accelerator that becomes free, so that gangs that need
+//! whole upstreams never begin: the first gangs in the order get the upstreams that drain soonest. Others may
+//! start there only if they end before the gang can begin, or leave it its room (EASY backfill, Lifka 1995).
+
+use std::time::Duration;
+
+use hg_ledger::WorkflowLedger;
+use hg_model::{Footprint, Time, UpstreamName};
+
+use super::placement::{Scope, scopes};
+use super::ready::ReadyStep;
+use super::room_map::{RoomMap, Seat};
+use super::speed::SpeedBook;
+
+/// How many gangs have room reserved at the same time: those behind them wait for the next turn.
+pub(crate) const RESERVATIONS_MAX: usize = 4;
+
+/// What an upstream keeps for a gang.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Reservation {
+    /// What the gang's members there need together.
+    pub(crate) claim: Footprint,
+    /// When the gang can begin.
+    pub(crate) begins: Time,
+}
+
+impl Reservation {
+    /// Whether a task may start beside it.
+    pub(crate) fn allows(&self, now: Time, open: &Footprint, step: &ReadyStep<'_>) -> bool {
+        let ends = now.after(Duration::from_millis(step.spec.estimate_ms));
+        let leaves_room = self.claim.fits(&open.minus(&step.spec.claim()));
+        leaves_room || (step.spec.estimate_ms > 0 && ends <= self.begins)
+    }
+}
+
+/// Reserves the upstreams that can hold a gang soonest. Returns whether there are enough.
+pub(crate) fn reserve(
+    now: Time,
+    step: &ReadyStep<'_>,
+    ledger: &WorkflowLedger,
+    speeds: &SpeedBook,
+    room: &mut RoomMap<'_>,
+) -> bool {
+    let plans = scopes(now, step, room).into_iter();
+    let plans = plans.filter_map(|scope| plan(now, step, &scope, ledger, speeds, room));
+    let Some((begins, upstreams)) = plans.min_by_key(|(begins, _)| *begins) else { return false };
+    let claim = step.spec.claim();
+    for upstream in upstreams {
+        let Some(seat) = room.seats.get_mut(&upstream) else { continue };
+        let known = seat.reservation.map_or_else(Footprint::default, |known| known.claim);
+        seat.reservation = Some(Reservation { claim: known.plus(&claim), begins });
+    }
+    true
+}
+
+/// The upstreams of a scope that have room for a member soonest, one entry for each member.
+fn plan(
+    now: Time,
+    step: &ReadyStep<'_>,
+    scope: &Scope<'_>,
+    ledger: &WorkflowLedger,
+    speeds: &SpeedBook,
+    room: &RoomMap<'_>,
+) -> Option<(Time, Vec<UpstreamName>)> {
+    let mut slots: Vec<(Time, &UpstreamName)> = Vec::new();
+    for name in &scope.names {
+        let Some(seat) = room.seats.get(*name) else { continue };
+        let times = free_times(now, step, seat, ledger, speeds);
+        slots.extend(times.into_iter().map(|at| (at, *name)));
+    }
+    slots.sort();
+    slots.truncate(step.waiting.len());
+    if slots.len() < step.waiting.len() {
+        return None;
+    }
+    let begins = slots.last().map_or(now, |(at, _)| *at);
+    Some((begins, slots.into_iter().map(|(_, name)| name.clone()).collect()))
+}
+
+/// When an upstream can hold the first, second, ... member, as its present work ends.
+fn free_times(
+    now: Time,
+    step: &ReadyStep<'_>,
+    seat: &Seat<'_>,
+    ledger: &WorkflowLedger,
+    speeds: &SpeedBook,
+) -> Vec<Time> {
+    let claim = step.spec.claim();
+    let taken = seat.reservation.map_or_else(Footprint::default, |known| known.claim);
+    let members_max = step.spec.per_upstream_max.unwrap_or(u32::MAX).min(step.spec.tasks);
+    let mut ends: Vec<(Time, Footprint)> = ledger
+        .occupancy()
+        .runs(&seat.report.name)
+        .filter_map(|(task, open)| {
+            let job = ledger.job(&task.step.job)?;
+            let spec = job.spec.steps.get(usize::try_from(task.step.step).ok()?)?;
+            let left = speeds.time_left(now, task, open, spec.estimate_ms);
+            (!spec.lasting).then(|| (now.after(left), open.claim))
+        })
+        .collect();
+    ends.sort_by_key(|(at, _)| *at);
+    let mut free = seat.open();
+    let mut times = Vec::new();
+    for (at, freed) in std::iter::once((now, Footprint::default())).chain(ends) {
+        free = free.plus(&freed);
+        let fits = free.minus(&taken).count_of(&claim, members_max);
+        while times.len() < usize::try_from(fits).unwrap_or(usize::MAX) {
+            times.push(at);
+        }
+    }
+    times
+}
--- a/crates/hg_policy/src/workflow/room_map.rs
+++ b/crates/hg_policy/src/workflow/room_map.rs
@@ -6,6 +6,7 @@
 use hg_model::{Footprint, PoolName, RackName, StepSpec, UpstreamName, UpstreamReport};
 
 use super::Fleet;
+use super::reservation::Reservation;
 
 /// One upstream in a round.
 #[derive(Debug, Clone)]
@@ -19,6 +20,8 @@
     pub(crate) slower: bool,
     /// Whether only urgent work may start here.
     pub(crate) reserved: bool,
+    /// Set if room is left to drain here for a gang.
+    pub(crate) reservation: Option<Reservation>,
 }
 
 impl Seat<'_> {
@@ -47,7 +50,8 @@
         let seat = |report: &'a UpstreamReport| {
             let free = report.capacity.minus(&ledger.occupancy().used(&report.name));
             let held = Footprint::default();
-            (&report.name, Seat { report, free, held, slower: false, reserved: false })
+            let (slower, reserved, reservation) = (false, false, None);
+            (&report.name, Seat { report, free, held, slower, reserved, reservation })
         };
         Self { seats: ledger.upstreams().values().filter(usable).map(seat).collect() }
     }
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -16,6 +16,7 @@
 use super::placement::place;
 use super::ready::{ReadyStep, ready_steps};
 use super::reclaim::{Clearance, clear_for};
+use super::reservation::{RESERVATIONS_MAX, reserve};
 use super::room_map::RoomMap;
 use super::speed::{Expected, SpeedBook};
 use super::standby::StandbyBook;
@@ -197,6 +198,7 @@
         self.held.hold_all(&mut round.room);
         self.headroom.reserve(now, ledger, &mut round.room);
         let mut unplaced = Vec::new();
+        let mut reservations = 0;
         for step in &ready {
             let all = if self.held.has(&step.id) {
                 self.start_held(step, &mut round)
@@ -204,6 +206,7 @@
                 self.serve(step, &mut round)
             };
             if !all {
+                self.reserve(step, &mut reservations, &mut round);
                 unplaced.push(step);
             }
         }
@@ -295,6 +298,15 @@
         false
     }
 
+    /// Lets room drain for a gang that found none, if it is among the first of these.
+    fn reserve(&self, step: &ReadyStep<'_>, reservations: &mut usize, round: &mut Round<'_>) {
+        let wants = step.spec.gang && !step.is_urgent() && !step.is_overdue();
+        if wants && *reservations < RESERVATIONS_MAX {
+            let made = reserve(round.now, step, round.ledger, &self.speeds, &mut round.room);
+            *reservations += usize::from(made);
+        }
+    }
+
     fn clear(&self, step: &ReadyStep<'_>, round: &Round<'_>) -> Option<Clearance> {
         let Round { now, ledger, covered, room, .. } = round;
         clear_for(*now, step, room, ledger, &self.stopping, covered)
--- a/crates/hg_policy/tests/workflow/rounds.rs
+++ b/crates/hg_policy/tests/workflow/rounds.rs
@@ -477,3 +477,38 @@
     list(&mut bench, std::slice::from_ref(&run), |_| 14);
     assert!(bench.round(0).stops.is_empty());
 }
+
+#[test]
+fn gang_gets_the_upstreams_that_drain_soonest() {
+    let mut bench = Bench::new(1, 2);
+    bench.submit("first", 2, vec![patient(16)]);
+    let first: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    bench.submit("gang", 1, vec![urgent_gang(1)]);
+    bench.submit("second", 2, vec![patient(16)]);
+    assert!(bench.round(4_000).starts.is_empty());
+    let (keeps, other): (Vec<_>, Vec<_>) =
+        first.into_iter().partition(|run| run.upstream == upstream(0));
+    for run in keeps.iter().take(7) {
+        bench.end(run, EndKind::Done);
+        assert!(bench.round(10).starts.is_empty(), "nobody else may start beside it");
+    }
+    bench.end(&other[0], EndKind::Done);
+    assert_eq!(bench.round(10).starts.len(), 1, "other upstreams are not kept");
+    bench.end(&keeps[7], EndKind::Done);
+    let starts = bench.round(10).starts;
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].task.step.job.as_str(), "gang");
+}
+
+#[test]
+fn short_task_starts_where_a_gang_has_to_wait_longer() {
+    let mut bench = Bench::new(1, 1);
+    bench.submit("first", 2, vec![patient(7)]);
+    bench.round(0);
+    bench.submit("gang", 1, vec![urgent_gang(1)]);
+    bench.submit("short", 2, vec![StepSpec { estimate_ms: 4_000, ..patient(1) }]);
+    bench.submit("long", 2, vec![StepSpec { estimate_ms: 9_000, ..patient(1) }]);
+    let starts = bench.round(10).starts;
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].task.step.job.as_str(), "short");
+}
