An end that nobody heard of may turn out to be a failure

Cause: since a member that must have ended was given up before its own list came, and the failure listed afterwards did not count. Now this is done only for upstreams that are silent; the end stays noted as unheard, counts as a possible failure against the attempts, and is taken in when it comes, or forgotten when its upstream's leases are over or its life is.

--- a/crates/hg_control/src/workflow/lead.rs
+++ b/crates/hg_control/src/workflow/lead.rs
@@ -18,8 +18,8 @@
 
 /// How often decisions are taken although nothing changed: due times come and patience ends.
 const DECIDE_EVERY: Duration = Duration::from_millis(100);
-/// How often ended workflows are forgotten.
-const FORGET_EVERY: Duration = Duration::from_secs(10);
+/// How often ended workflows are forgotten, and ends that nobody heard of.
+const FORGET_EVERY: Duration = Duration::from_secs(2);
 /// How long ended workflows are remembered at least.
 const REMEMBER_MS: u64 = 30 * 60 * 1_000;
 
@@ -213,6 +213,9 @@
             return;
         }
         lead.forgot_at = now;
+        let mut work = Work::default();
+        lead.sessions.forget_unheard(now, self.ledger.workflows(), &mut work);
+        self.carry_out_work(now, work);
         let before = Time(now.0.saturating_sub(REMEMBER_MS));
         if self.ledger.workflows().oldest_end().is_some_and(|at| at < before) {
             let command = Command::Workflow(WorkflowCommand::Forget { before });
@@ -307,6 +310,10 @@
                         "run" => run.run.0, "upstream" => %run.upstream);
                 }
             }
+            WorkflowCommand::ForgetUnheard { step } => {
+                info!(self.log, "workflow: end never heard of"; "event" => "end.unheard",
+                    "step" => %step);
+            }
             WorkflowCommand::Register(report) => {
                 info!(self.log, "workflow: upstream registered"; "event" => "upstream.registered",
                     "upstream" => %report.name, "incarnation" => report.incarnation.0,
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -104,6 +104,7 @@
             run: self.run,
             upstream: upstream.clone(),
             checkpoint: self.checkpoint.clone(),
+            is_unheard: false,
         }
     }
 
@@ -267,6 +268,11 @@
         self.listed_at = None;
     }
 
+    /// Whether it left the last order unanswered.
+    pub(super) const fn is_silent(&self) -> bool {
+        self.silences > 0
+    }
+
     /// It answered an order.
     pub(super) const fn note_answer(&mut self) {
         self.silences = 0;
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hg_ledger::{OpenRun, RunRef, WorkflowCommand, WorkflowLedger};
-use hg_model::{ClockReading, Incarnation, Term, Time, UpstreamName, UpstreamReport, VitalSigns};
+use hg_ledger::{LostRun, OpenRun, RunRef, WorkflowCommand, WorkflowLedger};
+use hg_model::{
+    ClockReading, Incarnation, StepId, Term, Time, UpstreamName, UpstreamReport, VitalSigns,
+};
 use hg_policy::{Fleet, PaceChange, TicketBook};
 
 use super::dispatch::Dispatch;
@@ -203,19 +205,20 @@
         }
     }
 
-    /// Gives up runs that have ended although their upstreams do not say so.
+    /// Gives up runs that have ended on upstreams that are silent about it.
     ///
     /// A start that nobody answered might still be carried out, so such runs are kept.
     pub(crate) fn lose_ended(&mut self, now: Time, ended: &[RunRef], work: &mut Work) {
         let mut lost = Vec::new();
         for RunRef { upstream, task, run } in ended {
-            let Some(session) = self.sessions.get_mut(upstream) else { continue };
+            let silent = self.sessions.get_mut(upstream).filter(|session| session.is_silent());
+            let Some(session) = silent else { continue };
             let known = session.runs.get_mut(task).filter(|known| known.run == *run);
             let Some(known) = known else { continue };
             let is_certain = known.start == StartStage::Settled && !known.in_doubt;
             if is_certain && !known.is_losing(now) {
                 known.note_losing(now);
-                lost.push(known.lost(task, upstream));
+                lost.push(LostRun { is_unheard: true, ..known.lost(task, upstream) });
                 session.suspect_until = now.after(SUSPECT);
             }
         }
@@ -224,6 +227,23 @@
         }
     }
 
+    /// Ends that nobody heard of do not count any more once all leases of their upstream are over.
+    pub(crate) fn forget_unheard(&self, now: Time, ledger: &WorkflowLedger, work: &mut Work) {
+        for (id, job) in ledger.jobs() {
+            for (occurrence, begun) in &job.occurrences {
+                for (step, record) in (0_u32..).zip(&begun.steps) {
+                    let at = record.unheard.as_ref().map(|unheard| &unheard.upstream);
+                    let session = at.and_then(|at| self.sessions.get(at));
+                    if at.is_some() && session.is_none_or(|s| s.leases_are_over(now)) {
+                        let (job, occurrence) = (id.clone(), *occurrence);
+                        let step = StepId { job, occurrence, step };
+                        work.commands.push(WorkflowCommand::ForgetUnheard { step });
+                    }
+                }
+            }
+        }
+    }
+
     /// Turns what is due into orders and commands.
     pub(crate) fn advance(
         &mut self,
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -1,8 +1,8 @@
 //! What goes through the log about workflows.
 
 use hg_model::{
-    AccountName, Catalog, Checkpoint, HostName, Incarnation, JobId, RunEnd, RunNumber, TaskId,
-    Time, UpstreamName, UpstreamReport, WaveNumber, WaveSpec, WorkflowSpec,
+    AccountName, Catalog, Checkpoint, HostName, Incarnation, JobId, RunEnd, RunNumber, StepId,
+    TaskId, Time, UpstreamName, UpstreamReport, WaveNumber, WaveSpec, WorkflowSpec,
 };
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +32,8 @@
     pub upstream: UpstreamName,
     /// The last saved progress that was seen.
     pub checkpoint: Option<Checkpoint>,
+    /// Whether it may still be listed as failed: its end is certain, but nobody has heard of it.
+    pub is_unheard: bool,
 }
 
 /// Saved progress of a run whose upstream is gone.
@@ -96,6 +98,11 @@
         /// When.
         at: Time,
     },
+    /// An end that nobody heard of does not count any more: its upstream's leases are over.
+    ForgetUnheard {
+        /// The step.
+        step: StepId,
+    },
     /// Registers an upstream, or what has changed of it.
     Register(UpstreamReport),
     /// An upstream is gone, with everything that ran on it.
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -10,7 +10,7 @@
 
 use super::{
     EndedWorkflow, LostRun, Occupancy, Occurrence, OpenRun, Phase, RunRef, RunStart, SavedProgress,
-    StepRecord, TaskState, Terms, Waves, Workflow, WorkflowCommand, WorkflowEffect,
+    StepRecord, TaskState, Terms, UnheardEnd, Waves, Workflow, WorkflowCommand, WorkflowEffect,
 };
 
 /// Most workflows in their final state that are remembered.
@@ -105,6 +105,11 @@
                     self.lose(run, at, &mut effects);
                 }
             }
+            WorkflowCommand::ForgetUnheard { step } => {
+                if let Some(record) = self.step_mut(&step) {
+                    record.unheard = None;
+                }
+            }
             WorkflowCommand::Register(report) => self.register(report, &mut effects),
             WorkflowCommand::Deregister { name, incarnation, saved, at } => {
                 self.deregister(&name, incarnation, &saved, at, &mut effects);
@@ -227,6 +232,10 @@
         at: Time,
         effects: &mut Vec<WorkflowEffect>,
     ) {
+        if self.hear_end(upstream, end) {
+            self.settle(&end.task.step, at, effects);
+            return;
+        }
         // A start may have reached a later life than the one it was meant for; its end counts as well.
         let open = self.occupancy.get(upstream, &end.task);
         if open.is_none_or(|open| open.run != end.run || open.incarnation > incarnation) {
@@ -237,12 +246,47 @@
         self.settle(&end.task.step, at, effects);
     }
 
+    /// Takes in an end that was missing. Returns whether it was.
+    fn hear_end(&mut self, upstream: &UpstreamName, end: &RunEnd) -> bool {
+        let Some(record) = self.step_mut(&end.task.step) else { return false };
+        let is_missing = record.unheard.as_ref().is_some_and(|unheard| {
+            let UnheardEnd { index, run, upstream: at } = unheard;
+            (*index, *run, at) == (end.task.index, end.run, upstream)
+        });
+        if is_missing {
+            record.unheard = None;
+            if end.kind == EndKind::Failed {
+                record.gang_failures += 1;
+            }
+        }
+        is_missing
+    }
+
+    /// Ends at an upstream that is gone will never be heard of.
+    fn forget_unheard_at(&mut self, upstream: &UpstreamName) {
+        for occurrence in self.jobs.values_mut().flat_map(|job| job.occurrences.values_mut()) {
+            for record in &mut occurrence.steps {
+                record.unheard.take_if(|unheard| unheard.upstream == *upstream);
+            }
+        }
+    }
+
+    fn step_mut(&mut self, step: &StepId) -> Option<&mut StepRecord> {
+        let job = self.jobs.get_mut(&step.job)?;
+        let occurrence = job.occurrences.get_mut(&step.occurrence)?;
+        at_index_mut(&mut occurrence.steps, step.step)
+    }
+
     fn lose(&mut self, lost: LostRun, at: Time, effects: &mut Vec<WorkflowEffect>) {
-        let LostRun { task, run, upstream, checkpoint } = lost;
+        let LostRun { task, run, upstream, checkpoint, is_unheard } = lost;
         if self.occupancy.get(&upstream, &task).is_none_or(|open| open.run != run) {
             return;
         }
         let step = task.step.clone();
+        if is_unheard && let Some(record) = self.step_mut(&step) {
+            let (index, upstream) = (task.index, upstream.clone());
+            record.unheard = Some(UnheardEnd { index, run, upstream });
+        }
         let at_run = RunRef { upstream, task, run };
         self.close(&at_run, EndKind::Lapsed, checkpoint.as_ref(), effects);
         self.settle(&step, at, effects);
@@ -315,7 +359,7 @@
         let lasting = at_index(&job.spec.steps, *step).is_some_and(|spec| spec.lasting);
         let attempts = job.terms.attempts.max(1);
         let record = job.occurrences.get(occurrence).and_then(|o| at_index(&o.steps, *step));
-        let failed = record.is_some_and(|r| failures_of(r) >= attempts) && !lasting;
+        let failed = record.is_some_and(|r| r.failures() >= attempts) && !lasting;
         if job.is_active() && failed {
             self.end_early(id, WorkflowState::Failed, at, effects);
             return;
@@ -374,7 +418,11 @@
         if known.is_some_and(|known| known.incarnation > report.incarnation || *known == report) {
             return;
         }
+        let is_new_life = known.is_some_and(|known| known.incarnation < report.incarnation);
         self.upstreams.insert(name.clone(), report);
+        if is_new_life {
+            self.forget_unheard_at(&name);
+        }
         effects.push(WorkflowEffect::Registered(name));
     }
 
@@ -399,11 +447,13 @@
                 run: open.run,
                 upstream: name.clone(),
                 checkpoint: saved.get(&(task, open.run)).map(|found| (*found).clone()),
+                is_unheard: false,
             })
             .collect();
         for run in lost {
             self.lose(run, at, effects);
         }
+        self.forget_unheard_at(name);
         self.upstreams.remove(name);
         effects.push(WorkflowEffect::Deregistered(name.clone()));
     }
@@ -419,12 +469,6 @@
     }
 }
 
-/// How often the step's worst task, or its gang, has failed.
-fn failures_of(record: &StepRecord) -> u32 {
-    let worst = record.tasks.iter().map(|task| task.failures).max().unwrap_or(0);
-    worst.max(record.gang_failures)
-}
-
 /// A gang fails once for each run, however many members fail; progress saved by one serves all.
 fn note_gang_end(
     record: &mut StepRecord,
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -12,6 +12,7 @@
 pub use ledger::WorkflowLedger;
 pub use occupancy::{Occupancy, OpenRun};
 pub use record::{
-    EndedWorkflow, Occurrence, Phase, StepRecord, TaskRecord, TaskState, Terms, Workflow,
+    EndedWorkflow, Occurrence, Phase, StepRecord, TaskRecord, TaskState, Terms, UnheardEnd,
+    Workflow,
 };
 pub use waves::{UpkeepStage, Wave, Waves};
--- a/crates/hg_ledger/src/workflow/record.rs
+++ b/crates/hg_ledger/src/workflow/record.rs
@@ -102,6 +102,17 @@
     }
 }
 
+/// A gang's member that must have ended, on an upstream that has not said how.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnheardEnd {
+    /// The member.
+    pub index: u32,
+    /// The run.
+    pub run: RunNumber,
+    /// Where it ran.
+    pub upstream: UpstreamName,
+}
+
 /// One step of one occurrence.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepRecord {
@@ -113,6 +124,8 @@
     pub gang_failures: u32,
     /// The last run of the gang that was counted as failed.
     pub gang_failed_run: RunNumber,
+    /// An end that may yet turn out to be a failure.
+    pub unheard: Option<UnheardEnd>,
 }
 
 impl StepRecord {
@@ -123,6 +136,7 @@
             done: 0,
             gang_failures: 0,
             gang_failed_run: RunNumber(0),
+            unheard: None,
         }
     }
 
@@ -131,6 +145,17 @@
         usize::try_from(self.done).is_ok_and(|done| done >= self.tasks.len())
     }
 
+    /// How often the worst task, or the gang, has failed.
+    pub fn failures(&self) -> u32 {
+        let worst = self.tasks.iter().map(|task| task.failures).max().unwrap_or(0);
+        worst.max(self.gang_failures)
+    }
+
+    /// Whether it may run again although one end is unheard, which may have been a failure.
+    pub fn may_run_again(&self, attempts: u32) -> bool {
+        self.unheard.is_none() || self.failures() + 1 < attempts
+    }
+
     /// The highest run of any task.
     pub fn last_run(&self) -> RunNumber {
         self.tasks.iter().map(|task| task.run).max().unwrap_or_default()
--- a/crates/hg_policy/src/workflow/ready.rs
+++ b/crates/hg_policy/src/workflow/ready.rs
@@ -121,6 +121,9 @@
                 continue;
             }
             let record = begun.and_then(|o| o.steps.get(usize::try_from(step).ok()?));
+            if record.is_some_and(|record| !record.may_run_again(job.terms.attempts)) {
+                continue;
+            }
             let id = StepId { job: id.clone(), occurrence: number, step };
             ready.push(ReadyStep { id, job, spec, record, waiting, rank, due, allowed: None });
         }
