--- a/crates/hg_policy/src/workflow/held.rs
+++ b/crates/hg_policy/src/workflow/held.rs
@@ -1,6 +1,6 @@
-//! Room that is being cleared for steps.
+//! Room that is being cleared for urgent steps.
 //!
-//! Answers the load in which many steps wait for stops at the same time: what is cleared for one must
+//! Answers the load in which many urgent steps wait for stops at the same time: what is cleared for one must
 //! not be given to another, and must not be kept for long if it does not come.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,7 +11,7 @@
 use super::ready::ReadyStep;
 use super::room_map::{RoomMap, Seat};
 
-/// How long room is held for a step while work is being stopped for it; a stop takes well under
+/// How long room is held for an urgent step while work is being stopped for it; a stop takes well under
 /// half a second, so by then something has gone wrong and another place is better.
 const HOLD_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -20,7 +20,6 @@
     placements: BTreeMap<u32, UpstreamName>,
     claim: Footprint,
     until: Time,
-    is_urgent: bool,
 }
 
 /// The room held, by step.
@@ -35,11 +34,6 @@
         self.steps.contains_key(step)
     }
 
-    /// How many steps that are not urgent have room held.
-    pub(crate) fn patient(&self) -> usize {
-        self.steps.values().filter(|held| !held.is_urgent).count()
-    }
-
     /// Marks all room held in the map of a round.
     pub(crate) fn hold_all(&self, room: &mut RoomMap<'_>) {
         for held in self.steps.values() {
@@ -64,8 +58,7 @@
         for upstream in placements.values() {
             room.hold(upstream, &claim);
         }
-        let (until, is_urgent) = (now.after(HOLD_LIMIT), step.is_urgent());
-        let held = HeldRoom { placements, claim, until, is_urgent };
+        let held = HeldRoom { placements, claim, until: now.after(HOLD_LIMIT) };
         self.steps.insert(step.id.clone(), held);
     }
 
@@ -78,15 +71,13 @@
         });
     }
 
-    /// Gives the room up of steps that are not urgent, and of urgent ones that `yields` names. Returns
-    /// whether there was any.
+    /// Gives room up. Returns whether there was any.
     pub(crate) fn give_up(
         &mut self,
-        yields: impl Fn(&StepId) -> bool,
+        goes: impl Fn(&StepId) -> bool,
         room: &mut RoomMap<'_>,
     ) -> bool {
-        let goes = self.steps.iter().filter(|(step, held)| !held.is_urgent || yields(step));
-        let gone: Vec<StepId> = goes.map(|(step, _)| step.clone()).collect();
+        let gone: Vec<StepId> = self.steps.keys().filter(|step| goes(step)).cloned().collect();
         for step in &gone {
             let Some(held) = self.steps.remove(step) else { continue };
             for upstream in held.placements.values() {
--- a/crates/hg_policy/src/workflow/ready.rs
+++ b/crates/hg_policy/src/workflow/ready.rs
@@ -56,11 +56,6 @@
         self.job.terms.priority == 0
     }
 
-    /// Whether its job can still end within its latency objective.
-    pub(crate) fn is_prompt(&self) -> bool {
-        self.rank.outlook == Outlook::Prompt
-    }
-
     /// Whether it is too late for its job to be of use.
     pub(crate) fn is_overdue(&self) -> bool {
         self.rank.outlook == Outlook::Overdue
--- a/crates/hg_policy/src/workflow/reclaim.rs
+++ b/crates/hg_policy/src/workflow/reclaim.rs
@@ -4,9 +4,6 @@
 //! Work is chosen by what its stop throws away: little for tasks whose progress can be saved, else all
 //! that was done since the start. A gang counts as a whole, since none of it goes on without the rest.
 //! What an account is guaranteed may also take room from urgent work that no guarantee covers.
-//!
-//! Gangs that are not urgent take room only from work of lower priority that saves its progress: it loses
-//! next to nothing, and without that single tasks would keep gangs of whole upstreams out for good.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -43,7 +40,7 @@
     pub(crate) stops: Vec<RunRef>,
 }
 
-/// Finds the cheapest work to stop so that all waiting tasks of a step fit.
+/// Finds the cheapest work to stop so that all waiting tasks of an urgent step fit.
 pub(crate) fn clear_for(
     now: Time,
     step: &ReadyStep<'_>,
@@ -105,11 +102,6 @@
     covered: &BTreeSet<JobId>,
 ) -> bool {
     let Some(job) = ledger.job(&task.step.job).filter(|job| job.is_active()) else { return false };
-    let at = usize::try_from(task.step.step).unwrap_or(usize::MAX);
-    let saves = job.spec.steps.get(at).is_some_and(|spec| spec.checkpointable);
-    if !step.is_urgent() && !saves {
-        return false;
-    }
     let is_uncovered = job.terms.priority == 0 && !covered.contains(&task.step.job);
     job.terms.priority > step.job.terms.priority || (step.is_covered() && is_uncovered)
 }
@@ -153,10 +145,7 @@
     }
     let by_upstream = units_by_upstream(units);
     for task in &step.waiting {
-        let open = scope.names.iter().filter(|name| {
-            let is_kept = room.seats.get(**name).is_none_or(|seat| seat.reserved);
-            has_turn(step, &counts, name) && (step.is_urgent() || !is_kept)
-        });
+        let open = scope.names.iter().filter(|name| has_turn(step, &counts, name));
         let options = open.filter_map(|name| {
             let (cost, evict) = eviction(name, &claim, &room, units, &by_upstream, &chosen)?;
             let seat = room.seats.get(*name)?;
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -26,8 +26,6 @@
 
 /// How many different jobs must fail on an upstream in a row before it is put aside.
 const ASIDE_AFTER: usize = 2;
-/// How many steps that are not urgent have room cleared for them at the same time.
-const PATIENT_HOLDS_MAX: usize = 4;
 /// How long it is put aside at first; doubled each time.
 const ASIDE: Duration = Duration::from_secs(4);
 
@@ -46,9 +44,6 @@
     /// Its host is to go down for upkeep.
     #[display("upkeep of its host")]
     Upkeep,
-    /// A gang of higher priority needs its room, and its progress is saved.
-    #[display("room for a gang")]
-    GaveWay,
     /// An urgent step needs its room.
     #[display("room for an urgent step")]
     Reclaimed,
@@ -277,50 +272,32 @@
         all
     }
 
-    /// Starts what fits; for a step that may take room, room is cleared. Returns whether all fits.
+    /// Starts what fits; for an urgent step that does not fit, room is cleared. Returns whether all fits.
     fn serve(&mut self, step: &ReadyStep<'_>, round: &mut Round<'_>) -> bool {
         let placed = place(round.now, step, &round.room);
         let all = placed.len() == step.waiting.len();
-        if all || !self.may_clear(step) {
+        if all || !step.is_urgent() {
             start(step, &placed, round);
             return all;
         }
-        let Some(clearance) = self.clear_or_displace(step, round) else {
+        let mut clearance = self.clear(step, round);
+        if clearance.is_none() && step.is_covered() {
+            let Round { covered, room, .. } = round;
+            if self.held.give_up(|step| !covered.contains(&step.job), room) {
+                clearance = self.clear(step, round);
+            }
+        }
+        let Some(clearance) = clearance else {
             start(step, &placed, round);
             return false;
         };
-        let reason = if step.is_urgent() { StopReason::Reclaimed } else { StopReason::GaveWay };
         for run in clearance.stops {
-            self.stop(run, reason, round);
+            self.stop(run, StopReason::Reclaimed, round);
         }
         self.held.hold(round.now, step, clearance.placements, &mut round.room);
         false
     }
 
-    /// Whether work may be stopped for a step.
-    fn may_clear(&self, step: &ReadyStep<'_>) -> bool {
-        let is_gang_in_time = step.spec.gang && step.is_prompt();
-        step.is_urgent() || (is_gang_in_time && self.held.patient() < PATIENT_HOLDS_MAX)
-    }
-
-    /// Clears room; an urgent step may also have room that is held for others.
-    fn clear_or_displace(
-        &mut self,
-        step: &ReadyStep<'_>,
-        round: &mut Round<'_>,
-    ) -> Option<Clearance> {
-        let clearance = self.clear(step, round);
-        if clearance.is_some() || !step.is_urgent() {
-            return clearance;
-        }
-        let Round { covered, room, .. } = round;
-        let yields = |held: &StepId| step.is_covered() && !covered.contains(&held.job);
-        if !self.held.give_up(yields, room) {
-            return None;
-        }
-        self.clear(step, round)
-    }
-
     /// Lets room drain for a gang that found none, if it is among the first of these.
     fn reserve(&self, step: &ReadyStep<'_>, reservations: &mut usize, round: &mut Round<'_>) {
         let wants = step.spec.gang && !step.is_urgent() && !step.is_overdue();
--- a/crates/hg_policy/tests/workflow/rounds.rs
+++ b/crates/hg_policy/tests/workflow/rounds.rs
@@ -512,26 +512,3 @@
     assert_eq!(starts.len(), 1);
     assert_eq!(starts[0].task.step.job.as_str(), "short");
 }
-
-#[test]
-fn gang_takes_room_from_lower_priority_that_saves_its_progress() {
-    let mut bench = Bench::new(1, 2);
-    bench.submit("saves", 2, vec![StepSpec { checkpointable: true, ..patient(8) }]);
-    bench.submit("loses", 2, vec![patient(8)]);
-    bench.round(0);
-    bench.submit("gang", 1, vec![urgent_gang(1)]);
-    let stops = bench.round(10).stops;
-    assert_eq!(stops.len(), 8);
-    assert!(stops.iter().all(|stop| stop.run.task.step.job.as_str() == "saves"));
-    bench.submit("gang-2", 1, vec![urgent_gang(1)]);
-    assert!(bench.round(10).stops.is_empty(), "the rest would lose its work");
-}
-
-#[test]
-fn gang_takes_no_room_from_its_own_priority() {
-    let mut bench = Bench::new(1, 1);
-    bench.submit("saves", 1, vec![StepSpec { checkpointable: true, ..patient(8) }]);
-    bench.round(0);
-    bench.submit("gang", 1, vec![urgent_gang(1)]);
-    assert!(bench.round(10).stops.is_empty());
-}
