--- a/crates/hg_control/src/workflow/dispatch.rs
+++ b/crates/hg_control/src/workflow/dispatch.rs
@@ -19,6 +19,8 @@
 pub(super) const LISTING_WAIT: Duration = Duration::from_millis(1_900);
 /// The same where fillers work beside tasks that serve users, whose figures cover half a second.
 const DISTURBED_WAIT: Duration = Duration::from_millis(300);
+/// The same where urgent tasks run: one that stands still is to be found while it can still end in time.
+const URGENT_WAIT: Duration = Duration::from_millis(600);
 /// How long a listing may take beyond that.
 const LISTING_SLACK: Duration = Duration::from_millis(700);
 
@@ -142,6 +144,8 @@
             Duration::ZERO
         } else if has_disturbance(session, ledger) {
             DISTURBED_WAIT
+        } else if has_urgent(session, ledger) {
+            URGENT_WAIT
         } else {
             LISTING_WAIT
         };
@@ -175,6 +179,12 @@
     specs.iter().any(|spec| spec.filler) && specs.iter().any(|spec| spec.target.is_some())
 }
 
+/// Whether urgent tasks run there.
+fn has_urgent(session: &Session, ledger: &WorkflowLedger) -> bool {
+    let jobs = session.runs.keys().filter_map(|task| ledger.job(&task.step.job));
+    jobs.into_iter().any(|job| job.terms.priority == 0)
+}
+
 fn spec_of<'a>(ledger: &'a WorkflowLedger, task: &TaskId) -> Option<&'a StepSpec> {
     let job = ledger.job(&task.step.job)?;
     job.spec.steps.get(usize::try_from(task.step.step).ok()?)
--- a/crates/hg_policy/src/workflow/speed.rs
+++ b/crates/hg_policy/src/workflow/speed.rs
@@ -13,13 +13,15 @@
 
 /// Progress is compared over at least this much of a task, in percent: less drowns in rounding.
 const PROGRESS_LEAST: u32 = 12;
-/// A task whose progress has not changed for this long may stand still: less is lost between two listings.
-const STALL_LEAST_MS: u64 = 1_500;
-/// It does if it should have made this much progress meanwhile by its caller's estimate, in percent.
+/// A task stands still that has not moved for this long, if it should have made `STALL_PERCENT` of its way by its
+/// caller's estimate: less is lost between two listings.
+const STALL_MS: u64 = 1_500;
 const STALL_PERCENT: u64 = 10;
-/// A task that has shown no progress at all may load for this long, and for a share of its estimate.
-const FIRST_PROGRESS_LEAST_MS: u64 = 2_100;
-const FIRST_PROGRESS_PERCENT: u64 = 25;
+/// A short task does so after a shorter time, if it should have made `STALL_SHORT_PERCENT` of its way.
+const STALL_SHORT_MS: u64 = 700;
+const STALL_SHORT_PERCENT: u64 = 25;
+/// A task that has not moved at all may load for this long.
+const LOAD_MS: u64 = 600;
 /// How many run times are remembered for each queue, and how many tell what is usual there.
 const RATIOS_MAX: usize = 40;
 const RATIOS_LEAST: usize = 8;
@@ -225,16 +227,14 @@
         };
         let idle_ms = clock.0.saturating_sub(track.last.1.0);
         if track.has_moved() {
-            return is_stalled(idle_ms, track.estimate_ms, STALL_LEAST_MS, STALL_PERCENT);
+            return is_stalled(idle_ms, track.estimate_ms);
         }
         let mut siblings = self.siblings(task, track.run).peekable();
         if siblings.peek().is_some() {
             // The members of a gang move only once all of them are there.
-            let others_move = siblings.any(|other| other.pace().is_some());
-            others_move && is_stalled(idle_ms, track.estimate_ms, STALL_LEAST_MS, STALL_PERCENT)
+            siblings.any(|other| other.pace().is_some()) && is_stalled(idle_ms, track.estimate_ms)
         } else {
-            let (least, percent) = (FIRST_PROGRESS_LEAST_MS, FIRST_PROGRESS_PERCENT);
-            is_stalled(idle_ms, track.estimate_ms, least, percent)
+            is_stalled(idle_ms.saturating_sub(LOAD_MS), track.estimate_ms)
         }
     }
 
@@ -276,9 +276,10 @@
     }
 }
 
-fn is_stalled(idle_ms: u64, estimate_ms: u64, least_ms: u64, percent: u64) -> bool {
-    let usual_ms = estimate_ms * percent / 100;
-    estimate_ms > 0 && idle_ms >= usual_ms.max(least_ms)
+fn is_stalled(idle_ms: u64, estimate_ms: u64) -> bool {
+    let short_ms = STALL_SHORT_MS.max(estimate_ms * STALL_SHORT_PERCENT / 100);
+    let limit_ms = STALL_MS.min(short_ms).max(estimate_ms * STALL_PERCENT / 100);
+    estimate_ms > 0 && idle_ms >= limit_ms
 }
 
 fn step_range(step: &StepId) -> std::ops::RangeInclusive<TaskId> {
--- a/crates/hg_policy/tests/workflow/rounds.rs
+++ b/crates/hg_policy/tests/workflow/rounds.rs
@@ -402,8 +402,8 @@
     bench.round(600);
     list(&mut bench, &runs, |run| percent(run, 30));
     assert!(bench.round(0).stops.is_empty(), "it may still load");
-    bench.round(700);
-    list(&mut bench, &runs, |run| percent(run, 60));
+    bench.round(100);
+    list(&mut bench, &runs, |run| percent(run, 36));
     assert_eq!(stopped(bench.round(0)), vec![runs[0].clone()]);
 }
 
@@ -424,10 +424,10 @@
     bench.submit("sweep", 2, vec![patient(1)]);
     let runs: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
     list(&mut bench, &runs, |_| 0);
-    bench.round(1_400);
+    bench.round(2_000);
     list(&mut bench, &runs, |_| 0);
     assert!(bench.round(0).stops.is_empty(), "it may still load");
-    bench.round(800);
+    bench.round(200);
     list(&mut bench, &runs, |_| 0);
     assert_eq!(stopped(bench.round(0)), runs);
     bench.end(&runs[0], EndKind::Stopped);
@@ -512,3 +512,17 @@
     assert_eq!(starts.len(), 1);
     assert_eq!(starts[0].task.step.job.as_str(), "short");
 }
+
+#[test]
+fn short_urgent_task_that_stands_still_starts_again_in_time() {
+    let mut bench = Bench::new(1, 2);
+    bench.submit("quote", 0, vec![urgent_gang(1)]);
+    let runs: Vec<_> = bench.round(0).starts.iter().map(run_of).collect();
+    list(&mut bench, &runs, |_| 0);
+    bench.round(600);
+    list(&mut bench, &runs, |_| 0);
+    assert!(bench.round(0).stops.is_empty(), "it may still load");
+    bench.round(700);
+    list(&mut bench, &runs, |_| 0);
+    assert_eq!(stopped(bench.round(0)), runs, "1.3 s of the 4.75 s that it has");
+}
