--- a/crates/hg_policy/src/workflow/reclaim.rs
+++ b/crates/hg_policy/src/workflow/reclaim.rs
@@ -3,7 +3,8 @@
 //! Answers the load in which the pool is full when an urgent job comes: it must begin within its bound.
 //! Work is chosen by what its stop throws away: little for tasks whose progress can be saved, else all
 //! that was done since the start. A gang counts as a whole, since none of it goes on without the rest.
-//! What an account is guaranteed may also take room from urgent work that no guarantee covers.
+//! What an account is guaranteed may also take room from urgent work that no guarantee covers, once it has
+//! waited for so long that it would miss its bound otherwise.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -21,6 +22,10 @@
 /// Room of a run that is being stopped counts as nearly free for this long: a stop takes half a second at most.
 const STOP_LIMIT: Duration = Duration::from_millis(800);
 
+/// How long guaranteed work waits before it takes room from urgent work: it has to begin within 2.9 s, and
+/// clearing takes up to half a second, twice if the first try fails.
+const CLAIM_AFTER: Duration = Duration::from_millis(1_200);
+
 /// What running far from the best rack costs, in run times of the step.
 const FAR_COST: u64 = 2;
 
@@ -75,7 +80,7 @@
                 }
                 continue;
             }
-            let yields = yields_to(step, ledger, task, covered);
+            let yields = yields_to(now, step, ledger, task, covered);
             let Some(cost) = stop_cost(now, ledger, task, open.since).filter(|_| yields) else {
                 continue;
             };
@@ -96,6 +101,7 @@
 
 /// Whether a run may be stopped for a step.
 fn yields_to(
+    now: Time,
     step: &ReadyStep<'_>,
     ledger: &WorkflowLedger,
     task: &TaskId,
@@ -103,7 +109,8 @@
 ) -> bool {
     let Some(job) = ledger.job(&task.step.job).filter(|job| job.is_active()) else { return false };
     let is_uncovered = job.terms.priority == 0 && !covered.contains(&task.step.job);
-    job.terms.priority > step.job.terms.priority || (step.is_covered() && is_uncovered)
+    let may_claim = step.is_covered() && now >= step.due.after(CLAIM_AFTER);
+    job.terms.priority > step.job.terms.priority || (may_claim && is_uncovered)
 }
 
 /// What stopping a run throws away, in thousandths of a core times milliseconds; `None` if it must go on.
