--- a/crates/hg_cli/src/arguments.rs
+++ b/crates/hg_cli/src/arguments.rs
@@ -32,6 +32,11 @@
         .subcommand(upstream())
         .subcommand(Command::new("status").about("Shows the control group and the pool"))
         .subcommand(keys())
+        .subcommand(
+            Command::new("explain")
+                .about("Reads logs of all processes from standard input and tells a job's story")
+                .arg(id()),
+        )
 }
 
 fn id() -> Arg {
--- a/crates/hg_cli/src/main.rs
+++ b/crates/hg_cli/src/main.rs
@@ -3,6 +3,7 @@
 mod arguments;
 mod client;
 mod exit;
+mod explain;
 mod jobs;
 mod keys;
 mod lists;
@@ -35,6 +36,7 @@
         Some(("upstream", matches)) => upstreams::run(&client, matches).await,
         Some(("status", _)) => upstreams::status(&client).await,
         Some(("keys", matches)) => keys::run(matches),
+        Some(("explain", matches)) => explain::run(matches),
         _ => Err(eyre::eyre!("clap requires a command")),
     }
 }
