--- a/crates/hg_control/src/drive.rs
+++ b/crates/hg_control/src/drive.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 
 use crate::links::{Outbox, PeerFrame};
+use crate::workflow::set_gauges;
 use crate::{Actions, Clock, Core, DutyReport, Event, OrderReport, Ticket};
 
 /// How long the core sleeps at most.
@@ -186,6 +187,8 @@
         metrics::gauge!("hg_control_commit").set(status.commit.0 as f64);
         metrics::gauge!("hg_control_log_entries").set(status.log_entries as f64);
         metrics::gauge!("hg_control_leads").set(f64::from(u8::from(self.core.may_decide(now))));
+        let shunned = self.core.shunned_count(now);
+        set_gauges(self.core.ledger().workflows(), shunned);
         metrics::gauge!("hg_control_lists").set(self.core.ledger().version().0 as f64);
         metrics::gauge!("hg_control_waiting").set(self.core.scheduler().waiting() as f64);
         metrics::gauge!("hg_control_holdings").set(self.core.scheduler().holdings().len() as f64);
--- a/crates/hg_control/src/lib.rs
+++ b/crates/hg_control/src/lib.rs
@@ -19,6 +19,7 @@
 mod leader_way;
 mod leading;
 mod links;
+mod metric;
 mod requests;
 mod run;
 mod views;
@@ -33,6 +34,7 @@
 pub use leader_watch::watch_leader;
 pub use leader_way::{LeaderWay, NoReply};
 pub use links::Drivers;
+pub use metric::{METRICS, Metric, MetricKind, metrics_page};
 pub use run::{ControlParts, ControlProcess, run, run_found};
 pub use workflow::{
     Advice, Duty, DutyReport, HostOrder, HostOrderKind, HostOrderResult, Order, OrderId, OrderKind,
--- a/crates/hg_control/src/run.rs
+++ b/crates/hg_control/src/run.rs
@@ -18,6 +18,7 @@
 use crate::drive::{self, Input};
 use crate::found::create_founder;
 use crate::links::{Asking, Drivers, Outbox, accept_links, ask_for_place};
+use crate::metric::describe_all;
 use crate::{Clock, Core, CoreConfig, Driver, FileDisk, Founder, WorkflowConfig, found, http};
 
 /// How long a leader that ends waits for its heir.
@@ -74,6 +75,7 @@
     pub async fn start(parts: ControlParts, log: &Logger) -> eyre::Result<Self> {
         let ControlParts { settings, drivers, founders, workflows } = parts;
         let prometheus = PrometheusBuilder::new().install_recorder().wrap_err("metrics")?;
+        describe_all();
         let keys = KeyFolder::new(&settings.keys);
         let endpoint = LinkEndpoint::listen(settings.listen, &keys).wrap_err("link endpoint")?;
         let server = http::bind(settings.http).await.wrap_err("pages")?;
--- a/crates/hg_control/src/workflow/lead.rs
+++ b/crates/hg_control/src/workflow/lead.rs
@@ -1,7 +1,7 @@
 //! The leader's rounds over workflows.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hg_ledger::{Command, WorkflowCommand, WorkflowEffect};
 use hg_model::{HostName, Term, Time};
@@ -12,6 +12,7 @@
 use super::broken_gangs::BrokenGangs;
 use super::duties::{Duties, hosts_taken_down};
 use super::sessions::{Sessions, Work};
+use super::telemetry;
 use super::{DutyReport, HostOrderResult, OrderReport, OrderResult, StartRefusal};
 use crate::Core;
 use crate::core::Purpose;
@@ -60,6 +61,11 @@
         WorkflowLead::new(now, term, sessions)
     }
 
+    /// How many upstreams get no new work now; 0 unless this replica leads.
+    pub(crate) fn shunned_count(&self, now: Time) -> usize {
+        self.workflows.as_ref().map_or(0, |lead| lead.sessions.fleet(now).shunned.len())
+    }
+
     /// One round: what is due goes out, then new decisions are taken.
     pub(crate) fn lead_workflows(&mut self, now: Time) {
         let Some(lead) = self.workflows.as_mut() else { return };
@@ -77,6 +83,7 @@
     /// Takes in what came of an order.
     pub(crate) fn on_order_report(&mut self, now: Time, report: OrderReport) {
         self.log_order_report(&report);
+        telemetry::note_result(&report.result);
         let Some(lead) = self.workflows.as_mut() else { return };
         if let OrderResult::Listed(listing) = &report.result {
             let ledger = self.ledger.workflows();
@@ -97,6 +104,7 @@
     }
 
     pub(crate) fn carry_out_work(&mut self, now: Time, work: Work) {
+        telemetry::note_orders(&work.orders);
         self.actions.orders.extend(work.orders);
         for command in work.commands {
             self.propose(now, Command::Workflow(command), Purpose::Kept);
@@ -117,10 +125,18 @@
         fleet.shunned.extend(aside.cloned());
         fleet.hosts = lead.duties.hosts.clone();
         fleet.moving = lead.duties.moving();
+        let started = Instant::now();
         let decisions = lead.scheduler.decide(now, ledger, &fleet);
+        telemetry::note_round(started.elapsed());
+        telemetry::note_starts(decisions.starts.len());
+        let jobs: BTreeSet<_> = decisions.starts.iter().map(|start| &start.task.step.job).collect();
+        for job in jobs {
+            telemetry::note_first_start(now, ledger, job);
+        }
         for RunStop { run, reason } in &decisions.stops {
             info!(self.log, "workflow: stops run"; "event" => "run.stop", "task" => %run.task,
                 "run" => run.run.0, "upstream" => %run.upstream, "reason" => %reason);
+            telemetry::note_stop(*reason);
             lead.sessions.stop_run(run);
         }
         self.actions.duties.extend(lead.duties.ask(now, decisions.ask));
@@ -165,6 +181,7 @@
                 down = hosts_taken_down(&commands);
             }
             DutyReport::Advice(ask, answer) => {
+                telemetry::note_advice(answer.is_ok());
                 let asked_at = lead.duties.note_asked(now, answer.is_ok()).unwrap_or(now);
                 match answer {
                     Ok(advice) => {
@@ -242,6 +259,7 @@
             }
             WorkflowEffect::Deregistered(name) => lead.sessions.close(name),
             WorkflowEffect::Ended(job) => {
+                telemetry::note_ended(ledger.state(job));
                 info!(self.log, "workflow: ended"; "event" => "workflow.ended", "job" => %job,
                     "state" => ledger.state(job).map(|state| state.to_string()));
             }
@@ -255,8 +273,18 @@
     /// Follows a command that was applied, beyond its effects.
     pub(crate) fn follow_workflow_command(&mut self, now: Time, command: &WorkflowCommand) {
         let Some(lead) = self.workflows.as_mut() else { return };
+        if let WorkflowCommand::Lose { runs, .. } = command {
+            telemetry::note_lost(runs.len());
+        }
+        if let WorkflowCommand::Upkeep { stage, .. } = command {
+            telemetry::note_upkeep(*stage);
+        }
+        if let WorkflowCommand::Accept { terms, .. } = command {
+            telemetry::note_accepted(terms.priority == 0);
+        }
         if let WorkflowCommand::Ends { upstream, incarnation, ends, .. } = command {
             for end in ends {
+                telemetry::note_end(end.kind);
                 lead.scheduler.note_end(now, upstream, &end.task.step.job, end.kind);
                 lead.broken_gangs.note_end(end);
             }
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -16,6 +16,7 @@
 mod request;
 mod session;
 mod sessions;
+mod telemetry;
 
 pub use duty::{
     Advice, Duty, DutyReport, HostOrder, HostOrderKind, HostOrderResult, PlatformDriver,
@@ -26,3 +27,4 @@
 
 pub(crate) use lead::WorkflowLead;
 pub(crate) use request::WorkflowReplyKind;
+pub(crate) use telemetry::set_gauges;
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -12,6 +12,7 @@
 use hg_replica::Disk;
 use slog::info;
 
+use super::telemetry;
 use crate::core::{Purpose, ReplyKind};
 use crate::{Core, Ticket};
 
@@ -181,6 +182,7 @@
             return Some(WorkflowReply::Invalid(fault.to_string()));
         }
         if let Err(rejection) = admit(self.ledger.workflows(), queue, &spec) {
+            telemetry::note_rejected(&rejection);
             info!(self.log, "workflow: rejected"; "event" => "workflow.rejected", "job" => %id,
                 "queue" => %queue.name, "reason" => %rejection,
                 "upstreams" => self.ledger.workflows().upstreams().len());
--- a/crates/hg_settings/src/log.rs
+++ b/crates/hg_settings/src/log.rs
@@ -1,10 +1,13 @@
 //! The root logger.
 
+use std::time::Instant;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use slog::{Drain as _, Logger, o};
 
-use crate::{Key, Kind};
+use crate::log_budget::LINES_PER_SECOND;
+use crate::{Key, Kind, LogBudget};
 
 /// Most log lines that wait to be written; more are dropped and counted.
 const LOG_QUEUE_LINES: usize = 8_192;
@@ -81,5 +84,6 @@
 {
     let drain = slog::LevelFilter::new(drain, level).fuse();
     let drain = slog_async::Async::new(drain).chan_size(LOG_QUEUE_LINES).build().fuse();
+    let drain = LogBudget::new(drain, LINES_PER_SECOND, Instant::now()).fuse();
     Logger::root(drain, o!("host" => host))
 }
