Callers hear of a missing leader after an election's time; nothing is reserved in an idle pool

Reservations are made only while 60 % of a pool is in use: beside idle upstreams a waiting small job would look forgotten.

--- a/crates/hg_control/src/door_limits.rs
+++ b/crates/hg_control/src/door_limits.rs
@@ -10,6 +10,9 @@
 const CALLER_DEFAULT_MS: u64 = 3_000;
 /// Left of a caller's time for the way back.
 const CALLER_MARGIN_MS: u64 = 250;
+/// No caller waits longer than this for a leader: an election takes 0.7 to 1.4 s, and if there is none by then it is
+/// not known when there will be, so the caller is told to come back.
+const CALLER_MAX_MS: u64 = 1_400;
 /// How long callers still arrive after the health check says no: two checks, a second apart, and a bit.
 const LAST_CALLERS: Duration = Duration::from_millis(2_500);
 /// Left of the time to end for closing down after the last request.
@@ -18,7 +21,8 @@
 /// How long a caller's call may wait for the leader, given how long the caller says that it waits.
 pub fn caller_limit(told_ms: Option<u64>) -> Duration {
     let ms = told_ms.unwrap_or(CALLER_DEFAULT_MS);
-    Duration::from_millis(ms.saturating_sub(CALLER_MARGIN_MS).max(CALLER_MARGIN_MS))
+    let limit_ms = ms.saturating_sub(CALLER_MARGIN_MS).min(CALLER_MAX_MS);
+    Duration::from_millis(limit_ms.max(CALLER_MARGIN_MS))
 }
 
 /// How a process that serves callers ends: it says that it is not ready, takes late callers in for a
--- a/crates/hg_policy/src/workflow/reservation.rs
+++ b/crates/hg_policy/src/workflow/reservation.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hg_ledger::WorkflowLedger;
-use hg_model::{Footprint, Time, UpstreamName};
+use hg_model::{Footprint, PoolName, Time, UpstreamName};
 
 use super::placement::{Scope, scopes};
 use super::ready::ReadyStep;
@@ -17,6 +17,10 @@
 /// How many gangs have room reserved at the same time: those behind them wait for the next turn.
 pub(crate) const RESERVATIONS_MAX: usize = 4;
 
+/// Nothing is reserved while less of a pool is in use, in percent: then small tasks keep nobody out, and
+/// waiting beside idle upstreams helps nobody.
+const USED_LEAST_PERCENT: u64 = 60;
+
 /// What an upstream keeps for a gang.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Reservation {
@@ -43,6 +47,9 @@
     speeds: &SpeedBook,
     room: &mut RoomMap<'_>,
 ) -> bool {
+    if !is_busy(&step.job.terms.pool, room) {
+        return false;
+    }
     let plans = scopes(now, step, room).into_iter();
     let plans = plans.filter_map(|scope| plan(now, step, &scope, ledger, speeds, room));
     let Some((begins, upstreams)) = plans.min_by_key(|(begins, _)| *begins) else { return false };
@@ -55,6 +62,15 @@
     true
 }
 
+/// Whether so much of a pool is in use that small tasks may keep gangs out.
+fn is_busy(pool: &PoolName, room: &RoomMap<'_>) -> bool {
+    let seats = room.seats.values().filter(|seat| seat.report.pool == *pool);
+    let (free, all) = seats.fold((0, 0), |(free, all), seat| {
+        (free + seat.free.weight(), all + seat.report.capacity.weight())
+    });
+    (all - free.min(all)) * 100 >= all * USED_LEAST_PERCENT
+}
+
 /// The upstreams of a scope that have room for a member soonest, one entry for each member.
 fn plan(
     now: Time,
