--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -117,18 +117,27 @@
     Some(run.lost(task, name))
 }
 
+/// What came of a start or stop.
+pub(super) struct RunReport {
+    /// The order.
+    pub(super) id: OrderId,
+    /// The task.
+    pub(super) task: TaskId,
+    /// What came of it.
+    pub(super) result: OrderResult,
+    /// Orders from this id on are sent after it is taken in.
+    pub(super) settled_by: OrderId,
+}
+
 /// Takes in the answer to a start or stop.
-#[expect(clippy::too_many_arguments, reason = "one report with all that it may change")]
 pub(super) fn on_run_report(
     now: Time,
-    id: OrderId,
-    task: &TaskId,
     name: &UpstreamName,
     session: &mut Session,
-    result: OrderResult,
-    settled_by: OrderId,
+    report: RunReport,
     work: &mut Work,
 ) {
+    let RunReport { id, task, result, settled_by } = report;
     let clock = match &result {
         OrderResult::Started(clock) | OrderResult::Stopped(clock) => Some(*clock),
         _ => None,
@@ -137,7 +146,7 @@
         session.note_clock(now, clock);
         session.note_answer();
     }
-    let Some(run) = session.runs.get_mut(task) else { return };
+    let Some(run) = session.runs.get_mut(&task) else { return };
     match result {
         OrderResult::Started(_) => {
             run.start = StartStage::Settled;
@@ -150,7 +159,7 @@
             session.renew_at = session.renew_at.min(now);
         }
         OrderResult::NotStarted(refusal) => {
-            if let Some(lost) = on_refusal(now, refusal, name, task, run, settled_by) {
+            if let Some(lost) = on_refusal(now, refusal, name, &task, run, settled_by) {
                 work.commands.push(WorkflowCommand::Lose { runs: vec![lost], at: now });
             }
             let is_fault_of_ours = matches!(
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -10,7 +10,7 @@
 use hg_policy::{Fleet, PaceChange, TicketBook};
 
 use super::dispatch::Dispatch;
-use super::reports::{on_renewal, on_run_report};
+use super::reports::{RunReport, on_renewal, on_run_report};
 use super::session::{RunSession, SUSPECT, Session, StartStage, StopStage};
 use super::{Order, OrderId, OrderReport, OrderResult};
 
@@ -294,7 +294,8 @@
             // The run is over, or this answers an order of an earlier life.
             return;
         };
-        on_run_report(now, id, &task, &upstream, session, result, settled_by, work);
+        let report = RunReport { id, task, result, settled_by };
+        on_run_report(now, &upstream, session, report, work);
     }
 }
 
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -3,28 +3,25 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use hg_model::{
-    AccountName, Catalog, Checkpoint, EndKind, Incarnation, JobId, QueueName, RunEnd, RunNumber,
-    StepId, TaskId, Time, UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
+    AccountName, Catalog, Checkpoint, Incarnation, JobId, QueueName, RunNumber, StepId, TaskId,
+    Time, UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
 };
 use serde::{Deserialize, Serialize};
 
 use super::{
     EndedWorkflow, LostRun, Occupancy, Occurrence, OpenRun, Phase, RunRef, RunStart, SavedProgress,
-    StepRecord, TaskState, Terms, UnheardEnd, Waves, Workflow, WorkflowCommand, WorkflowEffect,
+    TaskState, Terms, Waves, Workflow, WorkflowCommand, WorkflowEffect,
 };
 
-/// Most workflows in their final state that are remembered.
-const ENDED_MAX: usize = 50_000;
-
 /// Catalog, upstreams, workflows and open runs.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkflowLedger {
     catalog: Option<Catalog>,
     upstreams: BTreeMap<UpstreamName, UpstreamReport>,
-    jobs: BTreeMap<JobId, Workflow>,
-    ended: BTreeMap<JobId, EndedWorkflow>,
-    ended_order: VecDeque<JobId>,
-    occupancy: Occupancy,
+    pub(super) jobs: BTreeMap<JobId, Workflow>,
+    pub(super) ended: BTreeMap<JobId, EndedWorkflow>,
+    pub(super) ended_order: VecDeque<JobId>,
+    pub(super) occupancy: Occupancy,
     waves: Waves,
 }
 
@@ -224,194 +221,6 @@
         effects.push(WorkflowEffect::Opened(RunRef { upstream, task, run }));
     }
 
-    fn end(
-        &mut self,
-        upstream: &UpstreamName,
-        incarnation: Incarnation,
-        end: &RunEnd,
-        at: Time,
-        effects: &mut Vec<WorkflowEffect>,
-    ) {
-        if self.hear_end(upstream, end) {
-            self.settle(&end.task.step, at, effects);
-            return;
-        }
-        // A start may have reached a later life than the one it was meant for; its end counts as well.
-        let open = self.occupancy.get(upstream, &end.task);
-        if open.is_none_or(|open| open.run != end.run || open.incarnation > incarnation) {
-            return;
-        }
-        let at_run = RunRef { upstream: upstream.clone(), task: end.task.clone(), run: end.run };
-        self.close(&at_run, end.kind, end.checkpoint.as_ref(), effects);
-        self.settle(&end.task.step, at, effects);
-    }
-
-    /// Takes in an end that was missing. Returns whether it was.
-    fn hear_end(&mut self, upstream: &UpstreamName, end: &RunEnd) -> bool {
-        let Some(record) = self.step_mut(&end.task.step) else { return false };
-        let is_missing = record.unheard.as_ref().is_some_and(|unheard| {
-            let UnheardEnd { index, run, upstream: at } = unheard;
-            (*index, *run, at) == (end.task.index, end.run, upstream)
-        });
-        if is_missing {
-            record.unheard = None;
-            if end.kind == EndKind::Failed {
-                record.gang_failures += 1;
-            }
-        }
-        is_missing
-    }
-
-    /// Ends at an upstream that is gone will never be heard of.
-    fn forget_unheard_at(&mut self, upstream: &UpstreamName) {
-        for occurrence in self.jobs.values_mut().flat_map(|job| job.occurrences.values_mut()) {
-            for record in &mut occurrence.steps {
-                record.unheard.take_if(|unheard| unheard.upstream == *upstream);
-            }
-        }
-    }
-
-    fn step_mut(&mut self, step: &StepId) -> Option<&mut StepRecord> {
-        let job = self.jobs.get_mut(&step.job)?;
-        let occurrence = job.occurrences.get_mut(&step.occurrence)?;
-        at_index_mut(&mut occurrence.steps, step.step)
-    }
-
-    fn lose(&mut self, lost: LostRun, at: Time, effects: &mut Vec<WorkflowEffect>) {
-        let LostRun { task, run, upstream, checkpoint, is_unheard } = lost;
-        if self.occupancy.get(&upstream, &task).is_none_or(|open| open.run != run) {
-            return;
-        }
-        let step = task.step.clone();
-        if is_unheard && let Some(record) = self.step_mut(&step) {
-            let (index, upstream) = (task.index, upstream.clone());
-            record.unheard = Some(UnheardEnd { index, run, upstream });
-        }
-        let at_run = RunRef { upstream, task, run };
-        self.close(&at_run, EndKind::Lapsed, checkpoint.as_ref(), effects);
-        self.settle(&step, at, effects);
-    }
-
-    /// Gives the room of a run back and notes how it ended.
-    fn close(
-        &mut self,
-        at: &RunRef,
-        kind: EndKind,
-        checkpoint: Option<&Checkpoint>,
-        effects: &mut Vec<WorkflowEffect>,
-    ) {
-        self.occupancy.close(&at.upstream, &at.task);
-        effects.push(WorkflowEffect::Closed(at.clone()));
-        let StepId { job, occurrence, step } = &at.task.step;
-        let Some(job) = self.jobs.get_mut(job) else { return };
-        job.open_runs = job.open_runs.saturating_sub(1);
-        let gang = at_index(&job.spec.steps, *step).is_some_and(|spec| spec.gang);
-        let record = job.occurrences.get_mut(occurrence);
-        let Some(record) = record.and_then(|o| at_index_mut(&mut o.steps, *step)) else { return };
-        if gang {
-            note_gang_end(record, at, kind, checkpoint);
-        }
-        let Some(task) = at_index_mut(&mut record.tasks, at.task.index) else { return };
-        if checkpoint.is_some() {
-            task.checkpoint = checkpoint.cloned();
-        }
-        if kind == EndKind::Failed {
-            task.failures += 1;
-            task.failed_at = Some(at.upstream.clone());
-        }
-        if kind != EndKind::Done {
-            task.state = TaskState::Waiting;
-        } else if !task.is_done() {
-            task.state = TaskState::Done;
-            record.done += 1;
-        }
-        if gang && kind == EndKind::Done {
-            self.finish_gang(&at.task, at.run, effects);
-        }
-    }
-
-    /// One member that is done stands for all members of the same run.
-    fn finish_gang(&mut self, first: &TaskId, run: RunNumber, effects: &mut Vec<WorkflowEffect>) {
-        let StepId { job: id, occurrence, step } = &first.step;
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        let record = job.occurrences.get_mut(occurrence);
-        let Some(record) = record.and_then(|o| at_index_mut(&mut o.steps, *step)) else { return };
-        for (index, task) in (0_u32..).zip(record.tasks.iter_mut()) {
-            if task.is_done() {
-                continue;
-            }
-            if let TaskState::Running { upstream } = &task.state {
-                let task_id = TaskId { step: first.step.clone(), index };
-                self.occupancy.close(upstream, &task_id);
-                job.open_runs = job.open_runs.saturating_sub(1);
-                let upstream = upstream.clone();
-                effects.push(WorkflowEffect::Closed(RunRef { upstream, task: task_id, run }));
-            }
-            task.state = TaskState::Done;
-            record.done += 1;
-        }
-    }
-
-    /// Draws the conclusions from a closed run: a failed job, a finished occurrence or job.
-    fn settle(&mut self, step: &StepId, at: Time, effects: &mut Vec<WorkflowEffect>) {
-        let StepId { job: id, occurrence, step } = step;
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        let lasting = at_index(&job.spec.steps, *step).is_some_and(|spec| spec.lasting);
-        let attempts = job.terms.attempts.max(1);
-        let record = job.occurrences.get(occurrence).and_then(|o| at_index(&o.steps, *step));
-        let failed = record.is_some_and(|r| r.failures() >= attempts) && !lasting;
-        if job.is_active() && failed {
-            self.end_early(id, WorkflowState::Failed, at, effects);
-            return;
-        }
-        if job.occurrences.get(occurrence).is_some_and(Occurrence::is_done) {
-            job.occurrences.remove(occurrence);
-            job.finished.insert(*occurrence);
-        }
-        let state = match job.phase {
-            Phase::Ending(state) => state,
-            Phase::Active if job.is_done() => WorkflowState::Completed,
-            Phase::Active => return,
-        };
-        if job.open_runs == 0 {
-            self.archive(id.clone(), state, at, effects);
-        }
-    }
-
-    fn end_early(
-        &mut self,
-        id: &JobId,
-        state: WorkflowState,
-        at: Time,
-        effects: &mut Vec<WorkflowEffect>,
-    ) {
-        let Some(job) = self.jobs.get_mut(id).filter(|job| job.is_active()) else { return };
-        job.phase = Phase::Ending(state);
-        if job.open_runs == 0 {
-            self.archive(id.clone(), state, at, effects);
-        } else {
-            effects.push(WorkflowEffect::Ending(id.clone()));
-        }
-    }
-
-    fn archive(
-        &mut self,
-        id: JobId,
-        state: WorkflowState,
-        at: Time,
-        effects: &mut Vec<WorkflowEffect>,
-    ) {
-        self.jobs.remove(&id);
-        self.ended.insert(id.clone(), EndedWorkflow { state, at });
-        self.ended_order.push_back(id.clone());
-        while self.ended_order.len() > ENDED_MAX {
-            if let Some(oldest) = self.ended_order.pop_front() {
-                self.ended.remove(&oldest);
-            }
-        }
-        effects.push(WorkflowEffect::Ended(id));
-    }
-
     fn register(&mut self, report: UpstreamReport, effects: &mut Vec<WorkflowEffect>) {
         let name = report.name.clone();
         let known = self.upstreams.get(&name);
@@ -469,28 +278,10 @@
     }
 }
 
-/// A gang fails once for each run, however many members fail; progress saved by one serves all.
-fn note_gang_end(
-    record: &mut StepRecord,
-    at: &RunRef,
-    kind: EndKind,
-    checkpoint: Option<&Checkpoint>,
-) {
-    if kind == EndKind::Failed && at.run > record.gang_failed_run {
-        record.gang_failed_run = at.run;
-        record.gang_failures += 1;
-    }
-    if let Some(checkpoint) = checkpoint {
-        for task in &mut record.tasks {
-            task.checkpoint = Some(checkpoint.clone());
-        }
-    }
-}
-
-fn at_index<T>(items: &[T], index: u32) -> Option<&T> {
+pub(super) fn at_index<T>(items: &[T], index: u32) -> Option<&T> {
     items.get(usize::try_from(index).ok()?)
 }
 
-fn at_index_mut<T>(items: &mut [T], index: u32) -> Option<&mut T> {
+pub(super) fn at_index_mut<T>(items: &mut [T], index: u32) -> Option<&mut T> {
     items.get_mut(usize::try_from(index).ok()?)
 }
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -2,6 +2,7 @@
 
 mod command;
 mod effect;
+mod endings;
 mod ledger;
 mod occupancy;
 mod record;
--- a/crates/hg_model/src/workflow/catalog.rs
+++ b/crates/hg_model/src/workflow/catalog.rs
@@ -160,11 +160,6 @@
         self.accounts.iter().find(|account| account.keys.iter().any(|own| **own == *key))
     }
 
-    /// A client account.
-    pub fn account(&self, name: &AccountName) -> Option<&ClientAccount> {
-        self.accounts.iter().find(|account| account.name == *name)
-    }
-
     /// A pool.
     pub fn pool(&self, name: &PoolName) -> Option<&PoolSpec> {
         self.pools.iter().find(|pool| pool.name == *name)
--- a/crates/hg_model/src/workflow/step.rs
+++ b/crates/hg_model/src/workflow/step.rs
@@ -1,6 +1,5 @@
 //! What a caller hands in.
 
-use std::collections::BTreeSet;
 use std::fmt;
 use std::sync::Arc;
 
@@ -198,18 +197,6 @@
         self.schedule.map_or(1, |schedule| schedule.occurrences.max(1))
     }
 
-    /// Whether any task runs until the job is cancelled.
-    pub fn is_lasting(&self) -> bool {
-        self.steps.iter().any(|step| step.lasting)
-    }
-
-    /// Processor and accelerator time that the estimates add up to, in core-milliseconds.
-    pub fn estimated_work(&self) -> u64 {
-        let of =
-            |step: &StepSpec| u64::from(step.tasks) * step.estimate_ms * step.each.weight() / 1_000;
-        self.steps.iter().map(of).sum()
-    }
-
     /// The longest chain of estimates, in milliseconds.
     pub fn estimated_chain_ms(&self) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
@@ -221,11 +208,6 @@
         }
         ends.into_iter().max().unwrap_or(0)
     }
-
-    /// Labels that some task requires.
-    pub fn required_labels(&self) -> BTreeSet<&Label> {
-        self.steps.iter().filter_map(|step| step.required_label.as_ref()).collect()
-    }
 }
 
 /// The content is the caller's own and stays out of logs.
