An upstream that leaves stays so for its life

Cause, found by reading PROTOCOL against the code: heartbeats may be held up and overtaken, and a late one that says ready made an upstream that had been acknowledged as leaving take work again. Test failed first: late_heartbeat_does_not_bring_a_leaving_upstream_back.

--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -225,6 +225,7 @@
         lead.sessions.note_heartbeat(now, &name, incarnation, signs);
         let workflows = self.ledger.workflows();
         let known = workflows.upstreams().get(&name);
+        let report = report.after(known);
         if known.is_some_and(|known| *known == report || known.incarnation > incarnation) {
             return Some(WorkflowReply::Noted);
         }
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -224,6 +224,7 @@
     fn register(&mut self, report: UpstreamReport, effects: &mut Vec<WorkflowEffect>) {
         let name = report.name.clone();
         let known = self.upstreams.get(&name);
+        let report = report.after(known);
         if known.is_some_and(|known| known.incarnation > report.incarnation || *known == report) {
             return;
         }
--- a/crates/hg_model/src/workflow/report.rs
+++ b/crates/hg_model/src/workflow/report.rs
@@ -34,6 +34,15 @@
 }
 
 impl UpstreamReport {
+    /// The same report, given what the same life has said before: one that leaves never takes work again,
+    /// whatever a heartbeat says that was held up on its way.
+    #[must_use]
+    pub fn after(mut self, earlier: Option<&Self>) -> Self {
+        let has_left = |earlier: &Self| earlier.incarnation == self.incarnation && earlier.leaving;
+        self.leaving |= earlier.is_some_and(has_left);
+        self
+    }
+
     /// Whether it bears a label.
     pub fn has_label(&self, label: &Label) -> bool {
         self.labels.contains(label)
--- a/crates/hg_policy/tests/workflow/rounds.rs
+++ b/crates/hg_policy/tests/workflow/rounds.rs
@@ -4,7 +4,7 @@
 use hg_ledger::{RunRef, SavedProgress, WorkflowCommand};
 use hg_model::{
     Checkpoint, ClockReading, EndKind, Footprint, Incarnation, ListedRun, RunListing, StepSpec,
-    Time, WorkflowState,
+    Time, UpstreamReport, WorkflowState,
 };
 use hg_policy::WorkflowDecisions;
 
@@ -537,3 +537,16 @@
     list(&mut bench, &runs, |_| 0);
     assert_eq!(stopped(bench.round(0)), runs, "1.3 s of the 4.75 s that it has");
 }
+
+#[test]
+fn late_heartbeat_does_not_bring_a_leaving_upstream_back() {
+    let mut bench = Bench::new(1, 1);
+    let ready = bench.ledger.upstreams()[&upstream(0)].clone();
+    bench.apply(WorkflowCommand::Register(UpstreamReport { leaving: true, ..ready.clone() }));
+    bench.apply(WorkflowCommand::Register(ready.clone()));
+    bench.submit("sweep", 2, vec![patient(1)]);
+    assert!(bench.round(10).starts.is_empty());
+    let next_life = UpstreamReport { incarnation: Incarnation(2), ..ready };
+    bench.apply(WorkflowCommand::Register(next_life));
+    assert_eq!(bench.round(10).starts.len(), 1);
+}
