--- a/crates/hg_cli/src/arguments.rs
+++ b/crates/hg_cli/src/arguments.rs
@@ -32,6 +32,7 @@
         .subcommand(upstream())
         .subcommand(Command::new("status").about("Shows the control group and the pool"))
         .subcommand(keys())
+        .subcommand(control())
         .subcommand(
             Command::new("explain")
                 .about("Reads logs of all processes from standard input and tells a job's story")
@@ -176,3 +177,30 @@
             ),
     )
 }
+
+fn control() -> Command {
+    Command::new("control")
+        .about("Asks the control hosts over their links, without an entry")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("status")
+                .about("Shows the control group, the pool and the catalog in force")
+                .arg(
+                    Arg::new("control")
+                        .long("control")
+                        .value_name("ADDRESS,...")
+                        .required(true)
+                        .value_delimiter(',')
+                        .value_parser(value_parser!(SocketAddr))
+                        .help("Link addresses of some control hosts"),
+                )
+                .arg(
+                    Arg::new("keys")
+                        .long("keys")
+                        .value_name("FOLDER")
+                        .required(true)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("A folder with a key of this deployment"),
+                ),
+        )
+}
--- /dev/null
+++ b/crates/hg_cli/src/control.rs
@@ -0,0 +1,58 @@
+//! `control`: asks the control hosts themselves, over their links. It works wherever they run.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use eyre::WrapErr as _;
+use hg_link::{
+    ControlClient, KeyFolder, LinkEndpoint, Reply, Request, WorkflowReply, WorkflowRequest,
+};
+use hg_model::EntryName;
+use slog::{Discard, Logger, o};
+use tokio::sync::mpsc;
+
+use crate::exit::Exit;
+use crate::upstreams::print_status;
+
+/// How long the leader may take to answer: several elections on a busy machine.
+const LIMIT: Duration = Duration::from_secs(10);
+/// How this process names itself to the control hosts; they send it nothing.
+const NAME: &str = "operator";
+const DIRECTIVES_MAX: usize = 1;
+
+/// Runs a `control` command.
+pub(crate) async fn run(matches: &ArgMatches) -> eyre::Result<Exit> {
+    let Some(("status", matches)) = matches.subcommand() else {
+        return Err(eyre::eyre!("clap requires a command"));
+    };
+    let hosts: Vec<SocketAddr> =
+        matches.get_many("control").into_iter().flatten().copied().collect();
+    let keys: PathBuf = matches.get_one("keys").cloned().unwrap_or_default();
+    let client = client(hosts, keys)?;
+    let status = status(&client).await;
+    client.close().await;
+    status
+}
+
+fn client(hosts: Vec<SocketAddr>, keys: PathBuf) -> eyre::Result<ControlClient> {
+    let any = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+    let endpoint = LinkEndpoint::connect_only(any, &KeyFolder::new(keys)).wrap_err("keys")?;
+    let (directives, _) = mpsc::channel(DIRECTIVES_MAX);
+    let log = Logger::root(Discard, o!());
+    Ok(ControlClient::new(endpoint, hosts, EntryName::new(NAME)?, directives, log))
+}
+
+async fn status(client: &ControlClient) -> eyre::Result<Exit> {
+    match client.ask(&Request::Status, LIMIT).await? {
+        Reply::Status(view) => print_status(&view),
+        other => return Err(eyre::eyre!("an unexpected reply: {other:?}")),
+    }
+    let ping = Request::Workflow(WorkflowRequest::Ping);
+    if let Reply::Workflow(WorkflowReply::Ready { catalog, .. }) = client.ask(&ping, LIMIT).await? {
+        let version = catalog.map_or_else(|| "none yet".to_owned(), |version| version.to_string());
+        println!("catalog: {version}");
+    }
+    Ok(Exit::Good)
+}
--- a/crates/hg_cli/src/main.rs
+++ b/crates/hg_cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod client;
+mod control;
 mod exit;
 mod explain;
 mod jobs;
@@ -36,6 +37,7 @@
         Some(("upstream", matches)) => upstreams::run(&client, matches).await,
         Some(("status", _)) => upstreams::status(&client).await,
         Some(("keys", matches)) => keys::run(matches),
+        Some(("control", matches)) => control::run(matches).await,
         Some(("explain", matches)) => explain::run(matches),
         _ => Err(eyre::eyre!("clap requires a command")),
     }
--- a/crates/hg_cli/src/upstreams.rs
+++ b/crates/hg_cli/src/upstreams.rs
@@ -55,6 +55,12 @@
 /// Runs `status`.
 pub(crate) async fn status(client: &Client) -> eyre::Result<Exit> {
     let view: ClusterView = client.get("/v1/status", Duration::ZERO).await?.into_body()?;
+    print_status(&view);
+    Ok(Exit::Good)
+}
+
+/// Prints the control group and the pool.
+pub(crate) fn print_status(view: &ClusterView) {
     println!("leader {} in term {}", view.leader, view.term);
     println!(
         "log at {}, committed to {}, {} entries since the snapshot",
@@ -76,5 +82,4 @@
     for shortage in &view.shortages {
         println!("SHORT: {shortage}");
     }
-    Ok(Exit::Good)
 }
--- a/crates/hg_e2e/src/deployment.rs
+++ b/crates/hg_e2e/src/deployment.rs
@@ -238,6 +238,21 @@
         Ok(self.api(n).get("/v1/status").await?.body)
     }
 
+    /// Asks the control hosts for their status with the command line.
+    ///
+    /// # Errors
+    ///
+    /// If the command cannot be run or fails.
+    pub fn control_status(&self) -> eyre::Result<String> {
+        let links: Vec<String> = self.links.iter().map(ToString::to_string).collect();
+        let output = Command::new(self.bin.join("heathergrade"))
+            .args(["control", "status", "--control", &links.join(","), "--keys"])
+            .arg(self.dir.path().join("keys/e0"))
+            .output()?;
+        ensure!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+        Ok(String::from_utf8(output.stdout)?)
+    }
+
     /// Sends a signal to a process.
     ///
     /// # Errors
