A change of pace that was lost is told again

Cause, found by reading the diff: nothing called note_pace_unsure, so a filler whose last order was lost worked on at its old pace beside a task over its objective.

--- a/crates/hg_control/src/workflow/dispatch.rs
+++ b/crates/hg_control/src/workflow/dispatch.rs
@@ -92,7 +92,9 @@
     pub(super) fn pace(&mut self, session: &mut Session) {
         for (task, (run, percent)) in std::mem::take(&mut session.paces) {
             if session.runs.get(&task).is_some_and(|known| known.run == run) {
-                self.order(session, OrderKind::Pace { task, run, percent }, ANSWER_LIMIT);
+                let kind = OrderKind::Pace { task: task.clone(), run, percent };
+                let id = self.order(session, kind, ANSWER_LIMIT);
+                session.pacing.insert(id, task);
             }
         }
     }
--- a/crates/hg_control/src/workflow/lead.rs
+++ b/crates/hg_control/src/workflow/lead.rs
@@ -99,6 +99,9 @@
         }
         let mut work = Work::default();
         lead.sessions.on_report(now, report, &mut work);
+        for task in std::mem::take(&mut work.unsure_paces) {
+            lead.scheduler.note_pace_unsure(&task);
+        }
         lead.changed = true;
         self.carry_out_work(now, work);
     }
--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -117,6 +117,19 @@
     Some(run.lost(task, name))
 }
 
+/// Takes in the answer to a change of pace. Returns whether it may not have arrived.
+pub(super) fn on_pace_report(now: Time, session: &mut Session, result: &OrderResult) -> bool {
+    match result {
+        OrderResult::Paced(clock) => {
+            session.note_clock(now, *clock);
+            session.note_answer();
+        }
+        OrderResult::Unanswered(_) => session.note_silence(now),
+        _ => {}
+    }
+    !matches!(result, OrderResult::Paced(_))
+}
+
 /// What came of a start or stop.
 pub(super) struct RunReport {
     /// The order.
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -152,6 +152,8 @@
     pub(super) runs: BTreeMap<TaskId, RunSession>,
     /// Paces to be told.
     pub(super) paces: BTreeMap<TaskId, (RunNumber, u32)>,
+    /// Changes of pace on their way.
+    pub(super) pacing: BTreeMap<OrderId, TaskId>,
     /// What was listed as running and is not open, such as a start that was carried out late.
     pub(super) strays: BTreeMap<TaskId, RunNumber>,
 }
@@ -185,6 +187,7 @@
             leaves_at: None,
             runs: BTreeMap::new(),
             paces: BTreeMap::new(),
+            pacing: BTreeMap::new(),
             strays: BTreeMap::new(),
         }
     }
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -5,14 +5,14 @@
 
 use hg_ledger::{LostRun, OpenRun, RunRef, WorkflowCommand, WorkflowLedger};
 use hg_model::{
-    ClockReading, Incarnation, StepId, Term, Time, UpstreamName, UpstreamReport, VitalSigns,
+    ClockReading, Incarnation, StepId, TaskId, Term, Time, UpstreamName, UpstreamReport, VitalSigns,
 };
 use hg_policy::{Fleet, PaceChange, TicketBook};
 
 use super::dispatch::Dispatch;
-use super::reports::{RunReport, on_renewal, on_run_report};
+use super::reports::{RunReport, on_pace_report, on_renewal, on_run_report};
 use super::session::{RunSession, SUSPECT, Session, StartStage, StopStage};
-use super::{Order, OrderId, OrderReport, OrderResult};
+use super::{Order, OrderId, OrderReport};
 
 /// How long acknowledgements for an idle upstream wait for more of them.
 const ACKNOWLEDGE_PAUSE: Duration = Duration::from_millis(50);
@@ -28,6 +28,8 @@
     pub(crate) orders: Vec<Order>,
     /// To be logged.
     pub(crate) commands: Vec<WorkflowCommand>,
+    /// Tasks whose change of pace may not have arrived.
+    pub(crate) unsure_paces: Vec<TaskId>,
 }
 
 /// The sessions of one lead.
@@ -273,15 +275,12 @@
     /// Takes in what came of an order.
     pub(crate) fn on_report(&mut self, now: Time, report: OrderReport, work: &mut Work) {
         let OrderReport { id, upstream, result } = report;
-        if let OrderResult::Paced(clock) = result {
-            if let Some(session) = self.sessions.get_mut(&upstream) {
-                session.note_clock(now, clock);
-                session.note_answer();
-            }
-            return;
-        }
         let settled_by = OrderId(self.next);
         let Some(session) = self.sessions.get_mut(&upstream) else { return };
+        if let Some(task) = session.pacing.remove(&id) {
+            work.unsure_paces.extend(on_pace_report(now, session, &result).then_some(task));
+            return;
+        }
         if session.renewal == Some(id) {
             session.renewal = None;
             on_renewal(now, id, &upstream, session, result, work);
