--- a/crates/hg_control/src/workflow/broken_gangs.rs
+++ b/crates/hg_control/src/workflow/broken_gangs.rs
@@ -59,10 +59,8 @@
 }
 
 fn record<'a>(ledger: &'a WorkflowLedger, step: &StepId) -> Option<&'a StepRecord> {
-    let job = ledger.job(&step.job)?;
-    let at = usize::try_from(step.step).ok()?;
-    let is_gang = job.spec.steps.get(at)?.gang;
-    job.occurrence(step.occurrence)?.steps.get(at).filter(|_| is_gang)
+    let is_gang = ledger.step_spec(step)?.gang;
+    ledger.step_record(step).filter(|_| is_gang)
 }
 
 fn is_open(ledger: &WorkflowLedger, step: &StepId, run: RunNumber) -> bool {
--- a/crates/hg_control/src/workflow/dispatch.rs
+++ b/crates/hg_control/src/workflow/dispatch.rs
@@ -168,8 +168,7 @@
 /// What a start hands to the upstream.
 fn start_content(ledger: &WorkflowLedger, task: &TaskId) -> Option<(Arc<str>, Option<Checkpoint>)> {
     let job = ledger.job(&task.step.job)?;
-    let occurrence = job.occurrence(task.step.occurrence)?;
-    let step = occurrence.steps.get(usize::try_from(task.step.step).ok()?)?;
+    let step = ledger.step_record(&task.step)?;
     let record = step.tasks.get(usize::try_from(task.index).ok()?)?;
     Some((Arc::clone(&job.spec.content), record.checkpoint.clone()))
 }
@@ -177,7 +176,7 @@
 /// Whether fillers work beside tasks that serve users of their own.
 fn has_disturbance(session: &Session, ledger: &WorkflowLedger) -> bool {
     let specs: Vec<&StepSpec> =
-        session.runs.keys().filter_map(|task| spec_of(ledger, task)).collect();
+        session.runs.keys().filter_map(|task| ledger.step_spec(&task.step)).collect();
     specs.iter().any(|spec| spec.filler) && specs.iter().any(|spec| spec.target.is_some())
 }
 
@@ -186,8 +185,3 @@
     let jobs = session.runs.keys().filter_map(|task| ledger.job(&task.step.job));
     jobs.into_iter().any(|job| job.terms.priority == 0)
 }
-
-fn spec_of<'a>(ledger: &'a WorkflowLedger, task: &TaskId) -> Option<&'a StepSpec> {
-    let job = ledger.job(&task.step.job)?;
-    job.spec.steps.get(usize::try_from(task.step.step).ok()?)
-}
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -3,14 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use hg_model::{
-    AccountName, Catalog, Checkpoint, Incarnation, JobId, QueueName, RunNumber, StepId, TaskId,
-    Time, UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
+    AccountName, Catalog, Checkpoint, Incarnation, JobId, QueueName, RunNumber, StepId, StepSpec,
+    TaskId, Time, UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
 };
 use serde::{Deserialize, Serialize};
 
 use super::{
     EndedWorkflow, LostRun, Occupancy, Occurrence, OpenRun, Phase, RunRef, RunStart, SavedProgress,
-    TaskState, Terms, Waves, Workflow, WorkflowCommand, WorkflowEffect,
+    StepRecord, TaskState, Terms, Waves, Workflow, WorkflowCommand, WorkflowEffect,
 };
 
 /// Catalog, upstreams, workflows and open runs.
@@ -47,6 +47,17 @@
         self.jobs.get(id)
     }
 
+    /// What a caller asked for in a step of a known workflow.
+    pub fn step_spec(&self, step: &StepId) -> Option<&StepSpec> {
+        at_index(&self.jobs.get(&step.job)?.spec.steps, step.step)
+    }
+
+    /// What a step has come to; `None` if its occurrence has not begun, or is done.
+    pub fn step_record(&self, step: &StepId) -> Option<&StepRecord> {
+        let occurrence = self.jobs.get(&step.job)?.occurrence(step.occurrence)?;
+        at_index(&occurrence.steps, step.step)
+    }
+
     /// What a caller is shown of a workflow; `None` if it is not known.
     pub fn state(&self, id: &JobId) -> Option<WorkflowState> {
         let open = self.jobs.get(id).map(Workflow::state);
@@ -176,8 +187,7 @@
     }
 
     fn is_gang(&self, step: &StepId) -> bool {
-        let spec = self.jobs.get(&step.job).and_then(|job| at_index(&job.spec.steps, step.step));
-        spec.is_some_and(|spec| spec.gang)
+        self.step_spec(step).is_some_and(|spec| spec.gang)
     }
 
     fn may_start(&self, start: &RunStart) -> bool {
--- a/crates/hg_policy/src/workflow/availability.rs
+++ b/crates/hg_policy/src/workflow/availability.rs
@@ -18,11 +18,8 @@
     is_stopping: impl Fn(&RunRef) -> bool,
     task: &TaskId,
 ) -> bool {
-    let Some(job) = ledger.job(&task.step.job) else { return true };
-    let step = usize::try_from(task.step.step).unwrap_or(usize::MAX);
-    let Some(spec) = job.spec.steps.get(step) else { return true };
-    let occurrence = job.occurrence(task.step.occurrence);
-    let Some(record) = occurrence.and_then(|o| o.steps.get(step)) else { return true };
+    let Some(spec) = ledger.step_spec(&task.step) else { return true };
+    let Some(record) = ledger.step_record(&task.step) else { return true };
     let others = (0_u32..).zip(&record.tasks).filter(|(index, _)| *index != task.index);
     let away = others.filter(|(index, known)| {
         let id = TaskId { step: task.step.clone(), index: *index };
--- a/crates/hg_policy/src/workflow/evacuate.rs
+++ b/crates/hg_policy/src/workflow/evacuate.rs
@@ -39,9 +39,7 @@
     runs: &mut Vec<RunRef>,
 ) {
     for (task, open) in ledger.occupancy().runs(upstream) {
-        let job = ledger.job(&task.step.job);
-        let step = usize::try_from(task.step.step).unwrap_or(usize::MAX);
-        let Some(spec) = job.and_then(|job| job.spec.steps.get(step)) else { continue };
+        let Some(spec) = ledger.step_spec(&task.step) else { continue };
         let left = speeds.time_left(now, task, open, spec.estimate_ms);
         if !spec.lasting && now.after(left) <= leaves_at {
             continue;
--- a/crates/hg_policy/src/workflow/pace.rs
+++ b/crates/hg_policy/src/workflow/pace.rs
@@ -52,11 +52,14 @@
         upstream: &UpstreamName,
         listing: &RunListing,
     ) -> Vec<PaceChange> {
-        let strain =
-            listing.running.iter().filter_map(|run| strain(spec_of(ledger, run)?, run)).max();
+        let strain = listing
+            .running
+            .iter()
+            .filter_map(|run| strain(ledger.step_spec(&run.task.step)?, run))
+            .max();
         let mut changes = Vec::new();
         for run in &listing.running {
-            if !spec_of(ledger, run).is_some_and(|spec| spec.filler) {
+            if !ledger.step_spec(&run.task.step).is_some_and(|spec| spec.filler) {
                 continue;
             }
             let Some(percent) = self.next_pace(now, run, strain) else { continue };
@@ -95,11 +98,6 @@
     }
 }
 
-fn spec_of<'a>(ledger: &'a WorkflowLedger, run: &ListedRun) -> Option<&'a StepSpec> {
-    let job = ledger.job(&run.task.step.job)?;
-    job.spec.steps.get(usize::try_from(run.task.step.step).ok()?)
-}
-
 /// A serving task's tail as a share of its objective, in percent.
 fn strain(spec: &StepSpec, run: &ListedRun) -> Option<u64> {
     let target = spec.target?;
--- a/crates/hg_policy/src/workflow/reclaim.rs
+++ b/crates/hg_policy/src/workflow/reclaim.rs
@@ -85,7 +85,7 @@
                 continue;
             };
             let run = (at, open.claim);
-            if is_gang(ledger, &task.step) {
+            if ledger.step_spec(&task.step).is_some_and(|spec| spec.gang) {
                 let unit = gangs.entry(task.step.clone());
                 let unit = unit.or_insert_with(|| Unit { runs: Vec::new(), cost: 0 });
                 unit.runs.push(run);
@@ -115,8 +115,7 @@
 
 /// What stopping a run throws away, in thousandths of a core times milliseconds; `None` if it must go on.
 fn stop_cost(now: Time, ledger: &WorkflowLedger, task: &TaskId, since: Time) -> Option<u64> {
-    let job = ledger.job(&task.step.job)?;
-    let spec = job.spec.steps.get(usize::try_from(task.step.step).ok()?)?;
+    let spec = ledger.step_spec(&task.step)?;
     if spec.lasting {
         return None;
     }
@@ -125,12 +124,6 @@
     Some(lost.saturating_mul(spec.each.weight()))
 }
 
-fn is_gang(ledger: &WorkflowLedger, step: &StepId) -> bool {
-    let spec =
-        ledger.job(&step.job).and_then(|job| job.spec.steps.get(usize::try_from(step.step).ok()?));
-    spec.is_some_and(|spec| spec.gang)
-}
-
 /// Places all waiting tasks in a scope, stopping units where free room does not do.
 fn plan(
     step: &ReadyStep<'_>,
--- a/crates/hg_policy/src/workflow/reservation.rs
+++ b/crates/hg_policy/src/workflow/reservation.rs
@@ -110,8 +110,7 @@
         .occupancy()
         .runs(&seat.report.name)
         .filter_map(|(task, open)| {
-            let job = ledger.job(&task.step.job)?;
-            let spec = job.spec.steps.get(usize::try_from(task.step.step).ok()?)?;
+            let spec = ledger.step_spec(&task.step)?;
             let left = speeds.time_left(now, task, open, spec.estimate_ms);
             (!spec.lasting).then(|| (now.after(left), open.claim))
         })
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -145,9 +145,7 @@
     ) -> Vec<PaceChange> {
         for listed in &listing.running {
             let step = &listed.task.step;
-            let at = usize::try_from(step.step).ok();
-            let job = ledger.job(&step.job);
-            let spec = job.and_then(|job| job.spec.steps.get(at?));
+            let (job, spec) = (ledger.job(&step.job), ledger.step_spec(step));
             let expected = Expected {
                 queue: job.map(|job| &job.terms.queue),
                 estimate_ms: spec.map_or(0, |spec| spec.estimate_ms),
@@ -347,9 +345,8 @@
     if !job.is_active() {
         return true;
     }
-    let at = usize::try_from(task.step.step).unwrap_or(usize::MAX);
-    let gang = job.spec.steps.get(at).is_some_and(|spec| spec.gang);
-    let record = job.occurrence(task.step.occurrence).and_then(|o| o.steps.get(at));
+    let gang = ledger.step_spec(&task.step).is_some_and(|spec| spec.gang);
+    let record = ledger.step_record(&task.step);
     let is_running = |state: &TaskState| matches!(state, TaskState::Running { .. });
     gang && record.is_some_and(|r| r.tasks.iter().any(|task| !is_running(&task.state)))
 }
--- a/crates/hg_policy/src/workflow/speed.rs
+++ b/crates/hg_policy/src/workflow/speed.rs
@@ -289,9 +289,9 @@
 
 /// Whether what is left here takes longer than all that is not saved takes elsewhere.
 fn is_worth_restart(ledger: &WorkflowLedger, task: &TaskId, track: &Track, factor: f64) -> bool {
-    let Some(job) = ledger.job(&task.step.job) else { return false };
-    let spec = usize::try_from(task.step.step).ok().and_then(|at| job.spec.steps.get(at));
-    let Some(spec) = spec.filter(|spec| !spec.lasting) else { return false };
+    let Some(spec) = ledger.step_spec(&task.step).filter(|spec| !spec.lasting) else {
+        return false;
+    };
     let left = f64::from(100 - track.last.0.min(100)) / 100.0;
     let again = if spec.checkpointable { left } else { 1.0 };
     left * factor > again * RESTART_GAIN
--- a/crates/hg_policy/src/workflow/waves.rs
+++ b/crates/hg_policy/src/workflow/waves.rs
@@ -112,9 +112,7 @@
 
     /// `chosen` are stops of this round.
     fn may_stop(&self, task: &TaskId, chosen: &[RunRef]) -> bool {
-        let job = self.ledger.job(&task.step.job);
-        let step = usize::try_from(task.step.step).unwrap_or(usize::MAX);
-        let Some(spec) = job.and_then(|job| job.spec.steps.get(step)) else { return true };
+        let Some(spec) = self.ledger.step_spec(&task.step) else { return true };
         if spec.lasting {
             let is_stopping =
                 |run: &RunRef| self.stopping.contains_key(run) || chosen.contains(run);
