--- a/crates/hg_control/src/core.rs
+++ b/crates/hg_control/src/core.rs
@@ -13,7 +13,7 @@
     StorageError, Timing,
 };
 use hg_settings::ControlLimits;
-use slog::{Logger, crit, debug, warn};
+use slog::{Logger, crit, debug, info, warn};
 
 use crate::entries::Entries;
 use crate::workflow::{Duty, DutyReport, Order, OrderReport, WorkflowLead, WorkflowReplyKind};
@@ -364,6 +364,7 @@
     fn apply(&mut self, now: Time, entry: Entry) {
         let mine = self.pending.remove(&entry.index);
         let Payload::Command(bytes) = entry.payload else {
+            self.log_members(&entry);
             if let Some((_, purpose)) = mine {
                 let reply = self.not_leader();
                 self.turn_away(&purpose, reply);
@@ -397,6 +398,17 @@
         }
     }
 
+    /// One line for each change of the group.
+    fn log_members(&self, entry: &Entry) {
+        let Payload::Configuration(group) = &entry.payload else { return };
+        let of = |votes: bool| {
+            let members = group.peers.iter().filter(move |(_, peer)| peer.voter == votes);
+            members.map(|(id, _)| id.to_string()).collect::<Vec<_>>().join(" ")
+        };
+        info!(self.log, "control: group changed"; "event" => "group.changed",
+            "index" => entry.index.0, "voters" => of(true), "learners" => of(false));
+    }
+
     /// Keeps what a leader derives from the ledger up to date.
     fn follow(&mut self, now: Time, command: &Command, applied: &Applied) {
         if let Command::Workflow(command) = command {
--- a/crates/hg_control/src/lib.rs
+++ b/crates/hg_control/src/lib.rs
@@ -33,7 +33,7 @@
 pub use found::{FoundError, Founder, found};
 pub use leader_watch::watch_leader;
 pub use leader_way::{LeaderWay, NoReply};
-pub use links::Drivers;
+pub use links::{Asking, Drivers, ask_for_place};
 pub use metric::{METRICS, Metric, MetricKind, metrics_page};
 pub use run::{ControlParts, ControlProcess, run, run_found};
 pub use workflow::{
--- a/crates/hg_control/src/links.rs
+++ b/crates/hg_control/src/links.rs
@@ -13,6 +13,7 @@
 use slog::{Logger, debug, info, warn};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use crate::drive::{Driver, Input};
@@ -305,40 +306,59 @@
 
 /// A replica that may need a place in the group.
 #[derive(Debug)]
-pub(crate) struct Asking {
-    pub(crate) id: ReplicaId,
-    pub(crate) address: SocketAddr,
-    pub(crate) peers: Vec<SocketAddr>,
-    pub(crate) needs_place: Arc<AtomicBool>,
+pub struct Asking {
+    /// The replica.
+    pub id: ReplicaId,
+    /// Where it listens for links.
+    pub address: SocketAddr,
+    /// The control hosts that it was told of.
+    pub peers: Vec<SocketAddr>,
+    /// Whether it needs a place just now.
+    pub needs_place: Arc<AtomicBool>,
 }
 
 /// Asks control hosts for a place, again and again while this replica needs one.
 ///
 /// The hosts it was told of may be gone, so it also asks whomever they take for the leader.
-pub(crate) async fn ask_for_place(endpoint: LinkEndpoint, asking: Asking, log: Logger) {
+pub async fn ask_for_place(endpoint: LinkEndpoint, asking: Asking, log: Logger) {
     let Asking { id, address, mut peers, needs_place } = asking;
     loop {
         sleep(JOIN_EVERY).await;
         if !needs_place.load(Ordering::Relaxed) {
             continue;
         }
-        for peer in peers.clone().into_iter().filter(|peer| *peer != address) {
-            let req = Request::Join { id: id.clone(), address };
-            let asked = async {
-                let link = endpoint.connect(peer).await?;
-                let reply = link.request::<_, Reply>(&req, CONNECT_LIMIT).await;
-                link.close();
-                reply
-            };
-            let reply = timeout(CONNECT_LIMIT * 2, asked).await;
+        // All at once: hosts that are gone must not keep the leader from being asked.
+        let mut asked = JoinSet::new();
+        let ask = |peer| ask_one(endpoint.clone(), peer, id.clone(), address);
+        for peer in peers.iter().copied().filter(|peer| *peer != address) {
+            asked.spawn(ask(peer));
+        }
+        while let Some(Ok((peer, reply))) = asked.join_next().await {
             debug!(log, "control: asked for a place"; "event" => "join.ask", "peer" => %peer,
                 "reply" => ?reply);
-            if let Ok(Ok(Reply::NotLeader { address: Some(leader), .. })) = reply
+            if let Some(Reply::NotLeader { address: Some(leader), .. }) = reply
                 && !peers.contains(&leader)
                 && peers.len() < PEERS_MAX
             {
                 peers.push(leader);
+                asked.spawn(ask(leader));
             }
         }
     }
 }
+
+/// Asks one host for a place; `None` if it does not answer.
+async fn ask_one(
+    endpoint: LinkEndpoint,
+    peer: SocketAddr,
+    id: ReplicaId,
+    address: SocketAddr,
+) -> (SocketAddr, Option<Reply>) {
+    let asked = async {
+        let link = endpoint.connect(peer).await.ok()?;
+        let reply = link.request(&Request::Join { id, address }, CONNECT_LIMIT).await.ok();
+        link.close();
+        reply
+    };
+    (peer, timeout(CONNECT_LIMIT * 2, asked).await.ok().flatten())
+}
