Review of the diff: one HTTP exchange in the adapter, limits out of it, the lead in three files

Looked at and left: the derive lists of newtypes and the rows of the metric table (D1 to D8) are declarations; Footprint and Resources count other things; the long files of the tests and of the older part.

--- a/crates/hg_control/src/door_limits.rs
+++ b/crates/hg_control/src/door_limits.rs
@@ -15,6 +15,10 @@
 const CALLER_MAX_MS: u64 = 1_400;
 /// How long callers still arrive after the health check says no: two checks, a second apart, and a bit.
 const LAST_CALLERS: Duration = Duration::from_millis(2_500);
+/// How soon a caller may come back while there is no leader: about the time of an election.
+pub const NO_LEADER_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// How long requests in progress may take once a control process is to end: longer than any call waits.
+pub const CONTROL_DRAIN_LIMIT: Duration = Duration::from_millis(1_500);
 /// Left of the time to end for closing down after the last request.
 const CLOSING: Duration = Duration::from_millis(1_000);
 
--- a/crates/hg_control/src/leader_watch.rs
+++ b/crates/hg_control/src/leader_watch.rs
@@ -1,4 +1,4 @@
-//! Keeping in touch with the control leader while a process runs.
+//! Monitors the control leader while a process runs.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/hg_control/src/lib.rs
+++ b/crates/hg_control/src/lib.rs
@@ -4,7 +4,7 @@
 //!   [`Disk`](hg_replica::Disk): events go in, [`Actions`] come out.
 //! * [`FileDisk`] keeps the log in one file.
 //! * [`UpstreamDriver`] carries orders about workflows to upstreams, whatever protocol they speak.
-//! * [`LeaderWay`] asks the leader from any process, [`watch_leader`] keeps in touch with it.
+//! * [`LeaderWay`] asks the leader from any process, [`watch_leader`] monitors it.
 //! * [`ControlProcess`] is a running process; [`run`] wires the core to links, signals and the metrics page.
 
 mod clock;
@@ -27,7 +27,10 @@
 
 pub use clock::Clock;
 pub use core::{Actions, Core, CoreConfig, Event, Ticket, WorkflowConfig};
-pub use door_limits::{DrainPlan, HEARTBEAT_LIMIT, OPERATOR_LIMIT, caller_limit};
+pub use door_limits::{
+    CONTROL_DRAIN_LIMIT, DrainPlan, HEARTBEAT_LIMIT, NO_LEADER_RETRY_AFTER, OPERATOR_LIMIT,
+    caller_limit,
+};
 pub use drive::Driver;
 pub use file_disk::FileDisk;
 pub use found::{FoundError, Founder, found};
--- a/crates/hg_control/src/workflow/duty.rs
+++ b/crates/hg_control/src/workflow/duty.rs
@@ -3,10 +3,16 @@
 use std::fmt;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hg_model::{HostName, HostReport, PoolName, Term, UpstreamName, WaveNumber};
 use hg_policy::AdviceAsk;
 
+/// How long a call about hosts may take; the platform may be slow.
+const HOST_CALL_LIMIT: Duration = Duration::from_millis(3_000);
+/// How long advice may take beyond what is expected.
+const ADVICE_SLACK: Duration = Duration::from_millis(2_000);
+
 /// What is to happen with a host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum HostOrderKind {
@@ -75,9 +81,20 @@
     Ask(AdviceAsk),
 }
 
+impl Duty {
+    /// How long each request of the call may take.
+    pub const fn limit(&self) -> Duration {
+        match self {
+            Self::Host(_) | Self::ListHosts => HOST_CALL_LIMIT,
+            Self::Ask(ask) => Duration::from_millis(ask.takes_ms).saturating_add(ADVICE_SLACK),
+        }
+    }
+}
+
 /// Speaks the platform's protocol.
 ///
-/// An implementation makes each call once and reports what came back. It retries nothing.
+/// An implementation makes each call once, gives up after [`Duty::limit`], and reports what came back. It
+/// retries nothing.
 pub trait PlatformDriver: fmt::Debug + Send + Sync {
     /// Makes a call and waits for what comes of it.
     fn carry_out(&self, duty: Duty) -> Pin<Box<dyn Future<Output = DutyReport> + Send + '_>>;
--- a/crates/hg_control/src/workflow/lead.rs
+++ b/crates/hg_control/src/workflow/lead.rs
@@ -4,16 +4,16 @@
 use std::time::{Duration, Instant};
 
 use hg_ledger::{Command, WorkflowCommand, WorkflowEffect};
-use hg_model::{HostName, Term, Time};
+use hg_model::{Term, Time};
 use hg_policy::{HostMove, RunStop, WorkflowScheduler};
 use hg_replica::Disk;
-use slog::{debug, info, warn};
+use slog::{debug, info};
 
 use super::broken_gangs::BrokenGangs;
-use super::duties::{Duties, hosts_taken_down};
+use super::duties::Duties;
 use super::sessions::{Sessions, Work};
 use super::telemetry;
-use super::{DutyReport, HostOrderResult, OrderReport, OrderResult, StartRefusal};
+use super::{OrderReport, OrderResult, StartRefusal};
 use crate::Core;
 use crate::core::Purpose;
 
@@ -34,7 +34,7 @@
     /// Starts that are proposed and not applied yet.
     undecided: usize,
     /// Whether something changed since the last round.
-    changed: bool,
+    pub(super) changed: bool,
     decided_at: Time,
     forgot_at: Time,
 }
@@ -159,66 +159,6 @@
         }
     }
 
-    /// Takes in what came of a call to the platform.
-    pub(crate) fn on_duty_report(&mut self, now: Time, report: DutyReport) {
-        let Some(lead) = self.workflows.as_mut() else { return };
-        let ledger = self.ledger.workflows();
-        lead.changed = true;
-        let mut commands = Vec::new();
-        let mut down = BTreeSet::new();
-        match report {
-            DutyReport::Host(order, result) => {
-                info!(self.log, "workflow: host ordered"; "event" => "host.ordered",
-                    "host" => %order.host, "kind" => ?order.kind, "result" => ?result);
-                commands.extend(lead.duties.note_order(&order, &result));
-                if result == HostOrderResult::Done {
-                    down.insert(order.host);
-                }
-            }
-            DutyReport::Hosts(listed) => {
-                if let Err(cause) = &listed {
-                    warn!(self.log, "workflow: hosts not listed"; "event" => "hosts.unlisted",
-                        "cause" => cause);
-                }
-                commands = lead.duties.note_hosts(now, listed, ledger);
-                down = hosts_taken_down(&commands);
-            }
-            DutyReport::Advice(ask, answer) => {
-                telemetry::note_advice(answer.is_ok());
-                let asked_at = lead.duties.note_asked(now, answer.is_ok()).unwrap_or(now);
-                match answer {
-                    Ok(advice) => {
-                        info!(self.log, "workflow: advised"; "event" => "advice.given",
-                            "step" => %ask.step, "asked" => ask.upstreams.len(),
-                            "allowed" => advice.allowed.len(), "valid_ms" => advice.valid_ms);
-                        let until = asked_at.after(Duration::from_millis(advice.valid_ms));
-                        lead.scheduler.note_advice(ledger, &ask, &advice.allowed, until);
-                    }
-                    Err(cause) => {
-                        warn!(self.log, "workflow: not advised"; "event" => "advice.failed",
-                            "step" => %ask.step, "cause" => cause);
-                    }
-                }
-            }
-        }
-        self.note_hosts_down(now, &down);
-        for command in commands {
-            self.propose(now, Command::Workflow(command), Purpose::Kept);
-        }
-    }
-
-    /// The upstreams on hosts that went down are gone; their successors are other lives.
-    fn note_hosts_down(&mut self, now: Time, down: &BTreeSet<HostName>) {
-        let Some(lead) = self.workflows.as_ref() else { return };
-        let upstreams = self.ledger.workflows().upstreams().values();
-        let gone = upstreams.filter(|u| u.host.as_ref().is_some_and(|host| down.contains(host)));
-        let departures: Vec<WorkflowCommand> =
-            gone.map(|u| lead.sessions.departure(now, &u.name, u.incarnation)).collect();
-        for command in departures {
-            self.propose(now, Command::Workflow(command), Purpose::Kept);
-        }
-    }
-
     /// The starts that were proposed have been applied, or never will be.
     pub(crate) fn settle_workflow_decision(&mut self) {
         if let Some(lead) = self.workflows.as_mut() {
@@ -295,75 +235,4 @@
             lead.sessions.note_ends(now, upstream, *incarnation, upto);
         }
     }
-
-    fn log_order_report(&self, report: &OrderReport) {
-        use OrderResult::{Fenced, NotStarted, OtherIncarnation, Unanswered};
-        if let Fenced | NotStarted(_) | OtherIncarnation | Unanswered(_) = &report.result {
-            warn!(self.log, "workflow: order not carried out"; "event" => "order.failed",
-                "order" => report.id.0, "upstream" => %report.upstream,
-                "result" => ?report.result);
-        }
-    }
-
-    /// One line for each command about workflows that took effect.
-    pub(crate) fn log_workflow_command(&self, command: &WorkflowCommand) {
-        match command {
-            WorkflowCommand::PutCatalog(catalog) => {
-                info!(self.log, "workflow: catalog"; "event" => "catalog.put",
-                    "version" => catalog.version, "queues" => catalog.queues.len(),
-                    "in_force" => self.ledger.workflows().catalog().map(|c| c.version));
-            }
-            WorkflowCommand::Accept { id, terms, account, spec, .. } => {
-                info!(self.log, "workflow: accepted"; "event" => "workflow.accepted", "job" => %id,
-                    "queue" => %terms.queue, "priority" => terms.priority,
-                    "account" => account.as_ref().map(ToString::to_string),
-                    "steps" => spec.steps.len(), "chain_ms" => spec.estimated_chain_ms());
-            }
-            WorkflowCommand::Cancel { id, .. } => {
-                info!(self.log, "workflow: cancelled"; "event" => "workflow.cancelled", "job" => %id);
-            }
-            WorkflowCommand::Start { starts, .. } => {
-                for start in starts {
-                    info!(self.log, "workflow: run placed"; "event" => "run.placed",
-                        "task" => %start.task, "run" => start.run.0, "upstream" => %start.upstream);
-                }
-            }
-            WorkflowCommand::Ends { upstream, ends, .. } => {
-                for end in ends {
-                    info!(self.log, "workflow: run ended"; "event" => "run.ended",
-                        "task" => %end.task, "run" => end.run.0, "upstream" => %upstream,
-                        "kind" => ?end.kind);
-                }
-            }
-            WorkflowCommand::Lose { runs, .. } => {
-                for run in runs {
-                    warn!(self.log, "workflow: run lost"; "event" => "run.lost", "task" => %run.task,
-                        "run" => run.run.0, "upstream" => %run.upstream);
-                }
-            }
-            WorkflowCommand::ForgetUnheard { step } => {
-                info!(self.log, "workflow: end never heard of"; "event" => "end.unheard",
-                    "step" => %step);
-            }
-            WorkflowCommand::Register(report) => {
-                info!(self.log, "workflow: upstream registered"; "event" => "upstream.registered",
-                    "upstream" => %report.name, "incarnation" => report.incarnation.0,
-                    "rack" => %report.rack, "leaving" => report.leaving);
-            }
-            WorkflowCommand::Deregister { name, incarnation, .. } => {
-                info!(self.log, "workflow: upstream gone"; "event" => "upstream.gone",
-                    "upstream" => %name, "incarnation" => incarnation.0);
-            }
-            WorkflowCommand::StartWave { spec, .. } => {
-                info!(self.log, "workflow: wave taken in"; "event" => "wave.started",
-                    "wave" => %spec.number, "hosts" => spec.hosts.len(),
-                    "deadline_ms" => spec.deadline_ms, "down_max" => spec.down_max);
-            }
-            WorkflowCommand::Upkeep { wave, host, stage } => {
-                info!(self.log, "workflow: upkeep"; "event" => "host.upkeep", "wave" => %wave,
-                    "host" => %host, "stage" => ?stage);
-            }
-            WorkflowCommand::Forget { .. } => {}
-        }
-    }
 }
--- /dev/null
+++ b/crates/hg_control/src/workflow/lead_log.rs
@@ -0,0 +1,81 @@
+//! Log lines about workflows: one for each command that took effect, one for each order that did not.
+
+use hg_ledger::WorkflowCommand;
+use hg_replica::Disk;
+use slog::{info, warn};
+
+use super::{OrderReport, OrderResult};
+use crate::Core;
+
+impl<D: Disk> Core<D> {
+    pub(super) fn log_order_report(&self, report: &OrderReport) {
+        use OrderResult::{Fenced, NotStarted, OtherIncarnation, Unanswered};
+        if let Fenced | NotStarted(_) | OtherIncarnation | Unanswered(_) = &report.result {
+            warn!(self.log, "workflow: order not carried out"; "event" => "order.failed",
+                "order" => report.id.0, "upstream" => %report.upstream,
+                "result" => ?report.result);
+        }
+    }
+
+    /// One line for each command about workflows that took effect.
+    pub(crate) fn log_workflow_command(&self, command: &WorkflowCommand) {
+        match command {
+            WorkflowCommand::PutCatalog(catalog) => {
+                info!(self.log, "workflow: catalog"; "event" => "catalog.put",
+                    "version" => catalog.version, "queues" => catalog.queues.len(),
+                    "in_force" => self.ledger.workflows().catalog().map(|c| c.version));
+            }
+            WorkflowCommand::Accept { id, terms, account, spec, .. } => {
+                info!(self.log, "workflow: accepted"; "event" => "workflow.accepted", "job" => %id,
+                    "queue" => %terms.queue, "priority" => terms.priority,
+                    "account" => account.as_ref().map(ToString::to_string),
+                    "steps" => spec.steps.len(), "chain_ms" => spec.estimated_chain_ms());
+            }
+            WorkflowCommand::Cancel { id, .. } => {
+                info!(self.log, "workflow: cancelled"; "event" => "workflow.cancelled", "job" => %id);
+            }
+            WorkflowCommand::Start { starts, .. } => {
+                for start in starts {
+                    info!(self.log, "workflow: run placed"; "event" => "run.placed",
+                        "task" => %start.task, "run" => start.run.0, "upstream" => %start.upstream);
+                }
+            }
+            WorkflowCommand::Ends { upstream, ends, .. } => {
+                for end in ends {
+                    info!(self.log, "workflow: run ended"; "event" => "run.ended",
+                        "task" => %end.task, "run" => end.run.0, "upstream" => %upstream,
+                        "kind" => ?end.kind);
+                }
+            }
+            WorkflowCommand::Lose { runs, .. } => {
+                for run in runs {
+                    warn!(self.log, "workflow: run lost"; "event" => "run.lost", "task" => %run.task,
+                        "run" => run.run.0, "upstream" => %run.upstream);
+                }
+            }
+            WorkflowCommand::ForgetUnheard { step } => {
+                info!(self.log, "workflow: end never heard of"; "event" => "end.unheard",
+                    "step" => %step);
+            }
+            WorkflowCommand::Register(report) => {
+                info!(self.log, "workflow: upstream registered"; "event" => "upstream.registered",
+                    "upstream" => %report.name, "incarnation" => report.incarnation.0,
+                    "rack" => %report.rack, "leaving" => report.leaving);
+            }
+            WorkflowCommand::Deregister { name, incarnation, .. } => {
+                info!(self.log, "workflow: upstream gone"; "event" => "upstream.gone",
+                    "upstream" => %name, "incarnation" => incarnation.0);
+            }
+            WorkflowCommand::StartWave { spec, .. } => {
+                info!(self.log, "workflow: wave taken in"; "event" => "wave.started",
+                    "wave" => %spec.number, "hosts" => spec.hosts.len(),
+                    "deadline_ms" => spec.deadline_ms, "down_max" => spec.down_max);
+            }
+            WorkflowCommand::Upkeep { wave, host, stage } => {
+                info!(self.log, "workflow: upkeep"; "event" => "host.upkeep", "wave" => %wave,
+                    "host" => %host, "stage" => ?stage);
+            }
+            WorkflowCommand::Forget { .. } => {}
+        }
+    }
+}
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -11,6 +11,8 @@
 mod duties;
 mod duty;
 mod lead;
+mod lead_duties;
+mod lead_log;
 mod order;
 mod reports;
 mod request;
--- a/crates/hg_control/tests/door_limits.rs
+++ b/crates/hg_control/tests/door_limits.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use hg_control::{DrainPlan, caller_limit};
+use hg_control::{DrainPlan, Duty, caller_limit};
+use hg_model::{JobId, StepId};
+use hg_policy::AdviceAsk;
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -28,3 +30,14 @@
     }
     assert!(DrainPlan::new(ms(6_000)).last_callers >= ms(2_000), "two health checks");
 }
+
+#[test]
+fn duty_limit_of_a_question_covers_the_time_that_it_takes() {
+    let ask = AdviceAsk {
+        step: StepId { job: JobId::new("j").unwrap(), occurrence: 0, step: 0 },
+        upstreams: Vec::new(),
+        takes_ms: 700,
+    };
+    assert_eq!(Duty::Ask(ask).limit(), ms(2_700));
+    assert_eq!(Duty::ListHosts.limit(), ms(3_000));
+}
--- a/crates/hg_model/src/workflow/task.rs
+++ b/crates/hg_model/src/workflow/task.rs
@@ -83,7 +83,7 @@
     }
 }
 
-/// Tells one life of an upstream's process from the next; on the platform's pages, its start time.
+/// Tells one life of an upstream's process from the next; later lives have higher ones.
 #[derive(
     Debug,
     Clone,
