hg_link: ask all control hosts at once while no leader is known

Now all hosts are pinged at the same time, each at its own pace, and only one that replies as the leader itself is sent the request; waiting requests share one search. While a request is in flight for more than 250 ms the client looks for another leader beside it, and sends the request again only if it finds one. Links are kept up concurrently too. A request that no host received is never reported as possibly carried out.

Ruled out: raising the caller's limit, which only moves the cliff to three hosts.

--- a/crates/hg_link/src/control_client.rs
+++ b/crates/hg_link/src/control_client.rs
@@ -6,20 +6,25 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use futures_util::future::join_all;
 use hg_model::EntryName;
 use slog::{Logger, debug, info};
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::leader_hint::LeaderHint;
 use crate::{Directive, Link, LinkEndpoint, LinkError, Reply, Request};
 
 /// Timeout for connecting to one control host, and for one request to it.
-const HOST_TIMEOUT: Duration = Duration::from_millis(800);
+pub(crate) const HOST_TIMEOUT: Duration = Duration::from_millis(800);
 /// Delay before a retry after a host failed or did not know the leader.
 const RETRY_DELAY: Duration = Duration::from_millis(25);
 /// Delay before a retry after the leader replied that it is overloaded.
 const OVERLOAD_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// How long a request waits for the presumed leader's reply before the client looks for another leader. The
+/// request stays in flight meanwhile.
+const SLOW_AFTER: Duration = Duration::from_millis(250);
 
 /// Most addresses of control hosts that are kept; the oldest are removed first.
 const ADDRESSES_MAX: usize = 32;
@@ -52,11 +57,38 @@
     /// One lock for each host, held while connecting, so that a host never gets two links from
     /// this process at once.
     connecting: Mutex<BTreeMap<SocketAddr, Arc<AsyncMutex<()>>>>,
-    leader: Mutex<Option<SocketAddr>>,
+    leader: Mutex<LeaderHint>,
+    /// Held while looking for the leader, so that waiting requests share one search.
+    searching: AsyncMutex<()>,
     directives: Sender<Directive>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+/// What is known about a request after its tries so far.
+#[derive(Debug, Default)]
+struct Tries {
+    /// Whether a host may have received an earlier try and carried it out.
+    outcome_unknown: bool,
+    /// Whether the present try may have been received.
+    in_flight: bool,
+    /// Why the last try failed.
+    last: Option<String>,
+}
+
+impl Tries {
+    /// Records that the present try ended without a reply, or with one that leaves its outcome open.
+    fn end_unknown(&mut self, last: String) {
+        self.outcome_unknown |= std::mem::take(&mut self.in_flight);
+        self.last = Some(last);
+    }
+
+    /// Records that the present try has no effect.
+    fn end_without_effect(&mut self, last: String) {
+        self.in_flight = false;
+        self.last = Some(last);
+    }
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -72,7 +104,8 @@
     ) -> Self {
         let (links, leader) = (Mutex::default(), Mutex::default());
         let (addresses, connecting) = (Mutex::new(addresses), Mutex::default());
-        Self { endpoint, addresses, name, log, links, connecting, leader, directives }
+        let searching = AsyncMutex::default();
+        Self { endpoint, addresses, name, log, links, connecting, leader, searching, directives }
     }
 
     /// Adds the addresses of control hosts that may lead, as the hosts in the settings may have been
@@ -90,23 +123,30 @@
         addresses.drain(..excess);
     }
 
+    /// The control hosts that may lead.
+    pub(crate) fn hosts(&self) -> Vec<SocketAddr> {
+        lock(&self.addresses).clone()
+    }
+
     /// The leader according to the last reply, if known.
     pub fn leader(&self) -> Option<SocketAddr> {
-        *lock(&self.leader)
+        lock(&self.leader).leader()
     }
 
     /// Records the leader as known from another source.
     pub fn set_leader(&self, leader: SocketAddr) {
-        *lock(&self.leader) = Some(leader);
+        lock(&self.leader).record_leader(leader);
     }
 
-    /// Records which host `follower`, which does not lead, believes to be the leader.
-    pub fn record_leader_hint(&self, follower: SocketAddr, leader: Option<SocketAddr>) {
-        if leader.is_some() {
-            self.update_leader(follower, leader);
-        } else {
-            self.forget_leader(follower);
-        }
+    /// Records which host `follower`, which does not lead, believes to be the leader. Returns that host unless
+    /// it is not to be asked now.
+    pub fn record_leader_hint(
+        &self,
+        follower: SocketAddr,
+        leader: Option<SocketAddr>,
+    ) -> Option<SocketAddr> {
+        self.add_hosts(leader.filter(|leader| *leader != follower));
+        lock(&self.leader).record_hint(Instant::now(), follower, leader)
     }
 
     /// Sends a request to the leader and waits for its reply. Looks for the leader among the known
@@ -116,44 +156,78 @@
     ///
     /// [`ControlError`] if no leader answered within `limit`.
     pub async fn request(&self, req: &Request, limit: Duration) -> Result<Reply, ControlError> {
-        let deadline = Instant::now() + limit;
-        let mut attempt = 0;
-        let mut last = "no host was tried".to_owned();
-        let mut outcome_unknown = false;
-        while Instant::now() < deadline {
-            let target = self.target(attempt);
-            attempt += 1;
-            match self.request_to(target, req).await {
+        let mut tries = Tries::default();
+        if let Ok(reply) = timeout(limit, self.request_until_answered(req, &mut tries)).await {
+            return Ok(reply);
+        }
+        Err(ControlError {
+            step: request_name(req),
+            limit,
+            outcome_unknown: tries.outcome_unknown || tries.in_flight,
+            last: tries.last.unwrap_or_else(|| "no host answered".to_owned()),
+        })
+    }
+
+    /// Tries until a leader replies.
+    async fn request_until_answered(&self, req: &Request, tries: &mut Tries) -> Reply {
+        loop {
+            let target = self.find_leader(None).await;
+            let reply = tokio::select! {
+                reply = self.request_to(target, req, tries) => reply,
+                other = self.find_leader_if_slow(target) => {
+                    tries.end_unknown(format!("{target} is slow, and {other} leads"));
+                    continue;
+                }
+            };
+            match reply {
                 Ok(Reply::NotLeader { address, .. }) => {
-                    last = format!("{target} does not lead");
-                    self.update_leader(target, address);
-                    if address.is_none_or(|a| a == target) {
+                    tries.end_without_effect(format!("{target} does not lead"));
+                    if self.record_leader_hint(target, address).is_none() {
                         sleep(RETRY_DELAY).await;
                     }
                 }
                 Ok(Reply::Unsure) => {
-                    outcome_unknown = true;
-                    last = format!("{target} lost the lead");
-                    self.forget_leader(target);
+                    tries.end_unknown(format!("{target} lost the lead"));
+                    lock(&self.leader).forget(target);
                     sleep(RETRY_DELAY).await;
                 }
                 Ok(Reply::Busy) => {
-                    last = format!("{target} is busy");
+                    tries.end_without_effect(format!("{target} is busy"));
                     sleep(OVERLOAD_RETRY_DELAY).await;
                 }
                 Ok(reply) => {
-                    *lock(&self.leader) = Some(target);
-                    return Ok(reply);
+                    self.set_leader(target);
+                    return reply;
                 }
                 Err(error) => {
-                    outcome_unknown |= !error.is_unsent();
-                    last = error.to_string();
-                    self.forget_leader(target);
+                    tries.end_unknown(error.to_string());
+                    lock(&self.leader).record_failure(Instant::now(), target);
                     sleep(RETRY_DELAY).await;
                 }
             }
         }
-        Err(ControlError { step: request_name(req), limit, outcome_unknown, last })
+    }
+
+    /// The presumed leader; looks for it if it is not known, or if it is `except`.
+    async fn find_leader(&self, except: Option<SocketAddr>) -> SocketAddr {
+        let known = || self.leader().filter(|leader| Some(*leader) != except);
+        if let Some(leader) = known() {
+            return leader;
+        }
+        let _guard = self.searching.lock().await;
+        // Another request may have found it while this one waited for the lock.
+        if let Some(leader) = known() {
+            return leader;
+        }
+        let leader = self.search_leader(except).await;
+        self.set_leader(leader);
+        leader
+    }
+
+    /// Returns once another host leads although `target` has not replied yet.
+    async fn find_leader_if_slow(&self, target: SocketAddr) -> SocketAddr {
+        sleep(SLOW_AFTER).await;
+        self.find_leader(Some(target)).await
     }
 
     /// Keeps links open to all known control hosts, so that any leader can send directives. Never
@@ -161,9 +235,10 @@
     pub async fn maintain_links(&self) {
         const RECONNECT_INTERVAL: Duration = Duration::from_millis(250);
         loop {
-            let addresses = lock(&self.addresses).clone();
-            for address in addresses {
-                if let Err(error) = self.link(address).await {
+            let hosts = self.hosts();
+            // All at once: an unreachable host must not delay the links to the others.
+            for error in join_all(hosts.iter().map(|host| self.link(*host))).await {
+                if let Err(error) = error {
                     debug!(self.log, "control link: connecting failed"; "event" => "link.unmade",
                         "error" => %error);
                 }
@@ -177,35 +252,15 @@
         self.endpoint.close().await;
     }
 
-    /// The host to which the request with this number of earlier attempts goes.
-    fn target(&self, attempt: usize) -> SocketAddr {
-        let leader = *lock(&self.leader);
-        match leader {
-            // Every fourth attempt tries another host, as the presumed leader may fail persistently.
-            Some(leader) if attempt % 4 != 3 => leader,
-            _ => {
-                let addresses = lock(&self.addresses);
-                addresses[attempt % addresses.len()]
-            }
-        }
-    }
-
-    /// Records the leader that `follower` named, unless that is `follower` itself.
-    fn update_leader(&self, follower: SocketAddr, address: Option<SocketAddr>) {
-        let other = address.filter(|a| *a != follower);
-        self.add_hosts(other);
-        *lock(&self.leader) = other;
-    }
-
-    fn forget_leader(&self, target: SocketAddr) {
-        let mut leader = lock(&self.leader);
-        if *leader == Some(target) {
-            *leader = None;
-        }
-    }
-
-    async fn request_to(&self, target: SocketAddr, req: &Request) -> Result<Reply, LinkError> {
+    /// Sends a request to one host.
+    async fn request_to(
+        &self,
+        target: SocketAddr,
+        req: &Request,
+        tries: &mut Tries,
+    ) -> Result<Reply, LinkError> {
         let link = self.link(target).await?;
+        tries.in_flight = true;
         let result = link.request(req, HOST_TIMEOUT).await;
         if result.as_ref().is_err_and(|error| !error.is_timeout()) {
             link.close();
@@ -214,7 +269,7 @@
     }
 
     /// Returns the open link to a control host, or connects if there is none.
-    async fn link(&self, address: SocketAddr) -> Result<Link, LinkError> {
+    pub(crate) async fn link(&self, address: SocketAddr) -> Result<Link, LinkError> {
         if let Some(link) = self.open_link(address) {
             return Ok(link);
         }
--- a/crates/hg_link/src/lib.rs
+++ b/crates/hg_link/src/lib.rs
@@ -15,6 +15,8 @@
 mod endpoint;
 mod error;
 mod keys;
+mod leader_hint;
+mod leader_search;
 mod link;
 mod request;
 mod view;
