hg_control: a pool that no entry has reported is unknown, not empty

A leader now starts placing jobs only after the first full report, and 1.5 s later at most. That a shape fits nowhere is final only once every entry that the previous leader may have known has reported or counts as unresponsive; until then the reply is busy, which callers receive as not run. The same holds for lists whose guarantees exceed the pool.

--- a/crates/hg_control/src/entry_registry.rs
+++ b/crates/hg_control/src/entry_registry.rs
@@ -20,6 +20,8 @@
     entries: BTreeMap<EntryName, EntryRecord>,
     /// The entry at which each upstream is registered.
     assignments: BTreeMap<UpstreamName, EntryName>,
+    /// When the first full report arrived.
+    first_full_report: Option<Time>,
 }
 
 impl EntryRegistry {
@@ -45,6 +47,11 @@
         !self.entries.is_empty() && self.entries.values().all(|e| e.reported_fully)
     }
 
+    /// When the first entry reported all its upstreams.
+    pub(crate) const fn first_full_report(&self) -> Option<Time> {
+        self.first_full_report
+    }
+
     /// Records a heartbeat. Returns whether the entry still has to send a full report.
     pub(crate) fn record_heartbeat(&mut self, now: Time, name: &EntryName, full: bool) -> bool {
         let entry = self.entries.entry(name.clone()).or_insert_with(|| EntryRecord {
@@ -54,6 +61,9 @@
         });
         entry.last_heartbeat = now;
         entry.reported_fully |= full;
+        if full {
+            self.first_full_report.get_or_insert(now);
+        }
         !entry.reported_fully
     }
 
@@ -117,7 +127,6 @@
 
     /// Removes all entries; a new leader starts without any.
     pub(crate) fn clear(&mut self) {
-        self.entries.clear();
-        self.assignments.clear();
+        *self = Self::default();
     }
 }
--- a/crates/hg_control/src/leader_client.rs
+++ b/crates/hg_control/src/leader_client.rs
@@ -75,7 +75,7 @@
                     return Ok(reply);
                 }
                 Ok(Reply::NotLeader { address, .. }) => {
-                    self.client.record_leader_hint(*link, address)
+                    self.client.record_leader_hint(*link, address);
                 }
                 Ok(Reply::Busy) => {}
                 Ok(_) | Err(_) => outcome_unknown = true,
--- a/crates/hg_control/src/leader_tasks.rs
+++ b/crates/hg_control/src/leader_tasks.rs
@@ -13,7 +13,8 @@
 use crate::Core;
 use crate::core::{Leadership, Purpose};
 
-/// How long a new leader waits at most for entries to report their upstreams before it places jobs.
+/// How long a new leader waits at most for the other entries to report their upstreams, once one has, before it
+/// places jobs.
 const SETTLE_MAX: Duration = Duration::from_millis(1_500);
 /// How long a new leader waits at least before it places jobs, so that entries can find it.
 const SETTLE_MIN: Duration = Duration::from_millis(600);
@@ -75,16 +76,19 @@
         self.fail_pending();
     }
 
-    /// Starts placing jobs once all known entries have reported their upstreams, or after the longest
-    /// wait. Returns whether jobs may be placed.
+    /// Starts placing jobs once all known entries have reported their upstreams, or some time after the
+    /// first one has. Returns whether jobs may be placed.
     fn settle(&mut self, now: Time) -> bool {
-        let all_reported = self.entries.all_reported();
+        let (first_report, all_reported) =
+            (self.entries.first_full_report(), self.entries.all_reported());
         let Some(leadership) = &mut self.leadership else { return false };
         if leadership.settled {
             return true;
         }
-        let wait = if all_reported { SETTLE_MIN } else { SETTLE_MAX };
-        if now < leadership.since.after(wait) {
+        // Without a report the pool is unknown, not empty.
+        let Some(first_report) = first_report else { return false };
+        let others_waited_for = all_reported || now >= first_report.after(SETTLE_MAX);
+        if !others_waited_for || now < leadership.since.after(SETTLE_MIN) {
             return false;
         }
         leadership.settled = true;
@@ -94,6 +98,15 @@
         true
     }
 
+    /// Whether every entry that the previous leader may have known has reported its upstreams, or counts as
+    /// unresponsive. Until then a shape that fits nowhere may fit upstreams that are not known yet.
+    pub(crate) fn is_pool_known(&self, now: Time) -> bool {
+        let timeout = Duration::from_millis(self.cfg.limits.entry_silence_ms);
+        let led_long_enough =
+            self.leadership.as_ref().is_some_and(|l| l.settled && now >= l.since.after(timeout));
+        led_long_enough && self.entries.all_reported()
+    }
+
     fn decide(&mut self, now: Time) {
         if self.leadership.as_ref().is_none_or(|leadership| leadership.unapplied_decisions > 0) {
             return;
--- a/crates/hg_control/src/requests.rs
+++ b/crates/hg_control/src/requests.rs
@@ -5,8 +5,8 @@
 use hg_ledger::Command;
 use hg_link::{AttemptPhase, Directive, EntryHeartbeat, RefusedView, Reply, Request};
 use hg_model::{
-    AttemptResult, EntryName, JobId, JobSpec, JobState, ListVersion, Lists, NotRunReason,
-    OperationId, Time, UpstreamHeartbeat, UpstreamName,
+    AttemptResult, EntryName, JobId, JobSpec, JobState, ListFault, ListVersion, Lists,
+    NotRunReason, OperationId, Time, UpstreamHeartbeat, UpstreamName,
 };
 use hg_replica::Disk;
 use slog::info;
@@ -54,7 +54,7 @@
             }
             Request::CheckLists(lists) => Some(match self.scheduler.check_lists(&lists) {
                 Ok(()) => Reply::Done,
-                Err(faults) => Reply::Faults(faults),
+                Err(faults) => self.faults_reply(now, &lists, faults),
             }),
             Request::PutLists { op, expect, lists } => {
                 self.on_put_lists(now, ticket, op, expect, lists)
@@ -110,7 +110,7 @@
             let retry_after_ms =
                 refusal.retry_after.and_then(|span| span.as_millis().try_into().ok());
             // Until all upstreams are known it can't be decided what fits.
-            if !self.is_settled() && matches!(refusal.reason, NotRunReason::FitsNowhere(_)) {
+            if !self.is_pool_known(now) && matches!(refusal.reason, NotRunReason::FitsNowhere(_)) {
                 return Some(Reply::Busy);
             }
             info!(self.log, "control: job refused"; "event" => "job.refused", "job" => %id,
@@ -192,7 +192,7 @@
             return Some(Reply::Busy);
         }
         if is_current && let Err(faults) = self.scheduler.check_lists(&lists) {
-            return Some(Reply::Faults(faults));
+            return Some(self.faults_reply(now, &lists, faults));
         }
         self.propose_requested(
             now,
@@ -202,6 +202,15 @@
         )
     }
 
+    /// The reply for lists with faults. Guarantees that exceed the pool may fit once it is known.
+    fn faults_reply(&self, now: Time, lists: &Lists, faults: Vec<ListFault>) -> Reply {
+        let depends_on_pool = lists.faults().is_empty();
+        if depends_on_pool && !self.is_pool_known(now) {
+            return Reply::Busy;
+        }
+        Reply::Faults(faults)
+    }
+
     fn on_drain(
         &mut self,
         now: Time,
