--- a/crates/hg_control/src/core.rs
+++ b/crates/hg_control/src/core.rs
@@ -9,7 +9,7 @@
 use hg_ledger::{Applied, Command, Effect, Ledger, Outcome};
 use hg_link::{Directive, Reply, Request, decode, encode};
 use hg_model::{EntryName, JobId, Time};
-use hg_policy::{PolicyConfig, Scheduler};
+use hg_policy::{PolicyConfig, Scheduler, WorkflowBounds};
 use hg_replica::{
     Disk, Entry, Index, Message, Payload, Replica, ReplicaId, Snapshot, Status, Storage,
     StorageError, Timing,
@@ -75,22 +75,8 @@
     pub limits: ControlLimits,
     /// The policy's settings.
     pub policy: PolicyConfig,
-    /// Settings for workflows.
-    pub workflows: WorkflowConfig,
-}
-
-/// Settings for workflows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WorkflowConfig {
-    /// Longest lease that an upstream grants, in milliseconds of its own clock.
-    pub lease_max_ms: u64,
-}
-
-impl Default for WorkflowConfig {
-    fn default() -> Self {
-        // Several times as long as an election with a slow disk, so that an election loses no work.
-        Self { lease_max_ms: 10_000 }
-    }
+    /// The time bounds for workflows.
+    pub workflows: WorkflowBounds,
 }
 
 /// Why a command was proposed, and who is to be notified of its outcome.
--- a/crates/hg_control/src/lib.rs
+++ b/crates/hg_control/src/lib.rs
@@ -30,7 +30,7 @@
     caller_limit,
 };
 pub use clock::Clock;
-pub use core::{Actions, Core, CoreConfig, Event, Ticket, WorkflowConfig};
+pub use core::{Actions, Core, CoreConfig, Event, Ticket};
 pub use core_loop::CoreHandle;
 pub use file_disk::FileDisk;
 pub use founding::{Founder, FoundingError, found_group};
--- a/crates/hg_control/src/run.rs
+++ b/crates/hg_control/src/run.rs
@@ -6,6 +6,7 @@
 
 use eyre::{WrapErr as _, eyre};
 use hg_link::{KeyFolder, LinkEndpoint};
+use hg_policy::WorkflowBounds;
 use hg_replica::{ReplicaId, Snapshot, Storage, StorageError, Timing};
 use hg_settings::ControlSettings;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -19,9 +20,7 @@
 use crate::founding::create_founder;
 use crate::links::{Drivers, JoiningReplica, Outbox, accept_links, request_membership};
 use crate::metric::describe_all;
-use crate::{
-    Clock, Core, CoreConfig, CoreHandle, FileDisk, Founder, WorkflowConfig, found_group, http,
-};
+use crate::{Clock, Core, CoreConfig, CoreHandle, FileDisk, Founder, found_group, http};
 
 /// How long a process that shuts down waits for a successor to take over leadership.
 const TRANSFER_WAIT: Duration = Duration::from_millis(500);
@@ -54,7 +53,7 @@
     /// The hosts that found the group on empty disks; empty except at the first start of a deployment.
     pub founders: Vec<Founder>,
     /// Settings for workflows.
-    pub workflows: WorkflowConfig,
+    pub workflows: WorkflowBounds,
 }
 
 /// A running control process.
@@ -162,7 +161,7 @@
 /// With the step that failed: keys, sockets or the disk.
 pub async fn run(settings: ControlSettings, log: Logger) -> eyre::Result<()> {
     let (drivers, founders) = (Drivers::default(), Vec::new());
-    let workflows = WorkflowConfig::default();
+    let workflows = WorkflowBounds::default();
     let parts = ControlParts { settings, drivers, founders, workflows };
     let mut process = ControlProcess::start(parts, &log).await?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("signals")?;
@@ -176,7 +175,7 @@
     process.stop().await
 }
 
-fn core_config(settings: &ControlSettings, workflows: WorkflowConfig) -> CoreConfig {
+fn core_config(settings: &ControlSettings, workflows: WorkflowBounds) -> CoreConfig {
     let agreement = &settings.agreement;
     let timing = Timing {
         heartbeat: Duration::from_millis(agreement.heartbeat_ms),
--- a/crates/hg_control/src/workflow/dispatch.rs
+++ b/crates/hg_control/src/workflow/dispatch.rs
@@ -5,7 +5,7 @@
 
 use hg_ledger::{LostRun, WorkflowLedger};
 use hg_model::{Checkpoint, StepSpec, TaskId, Term, Time, UpstreamName};
-use hg_policy::TicketCache;
+use hg_policy::{TicketCache, WorkflowBounds};
 
 use super::session::{RunSession, Session, StartStage, StopStage};
 use super::sessions::Work;
@@ -13,8 +13,6 @@
 
 /// Timeout of starts, stops and changes of pace; upstreams answer within a few milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long a start stays valid, so that a delayed one has no effect.
-const START_VALID_MS: u64 = 3_000;
 /// How long an upstream may delay a listing in which nothing has changed (long polling).
 pub(super) const LISTING_WAIT: Duration = Duration::from_millis(1_900);
 /// The same where best-effort tasks run beside tasks that serve users, whose measurements cover half a
@@ -34,6 +32,7 @@
     pub(super) now: Time,
     pub(super) work: &'a mut Work,
     pub(super) tickets: &'a TicketCache,
+    pub(super) bounds: &'a WorkflowBounds,
 }
 
 impl Dispatch<'_> {
@@ -120,7 +119,8 @@
             return;
         }
         let Some((content, checkpoint)) = start_content(ledger, task) else { return };
-        let Some(lease_until) = session.grant_lease(self.now, START_VALID_MS) else { return };
+        let valid = self.bounds.start_valid();
+        let Some(lease_until) = session.grant_lease(self.now, valid) else { return };
         let (task, run) = (task.clone(), run.run);
         let ticket = self.tickets.ticket(self.now, &task.step, self.name);
         let kind =
@@ -130,12 +130,7 @@
     }
 
     /// Sends a renewal if one is due: it extends the lease, acknowledges ends and requests a listing.
-    pub(super) fn send_renewal(
-        &mut self,
-        session: &mut Session,
-        ledger: &WorkflowLedger,
-        lease_max_ms: u64,
-    ) {
+    pub(super) fn send_renewal(&mut self, session: &mut Session, ledger: &WorkflowLedger) {
         let is_due = session.needs_listing()
             || session.recorded_upto > session.acknowledged_upto
             || session.needs_initial_listing
@@ -155,7 +150,7 @@
         } else {
             LISTING_WAIT
         };
-        let lease_until = session.renewal_lease(self.now, lease_max_ms);
+        let lease_until = session.renewal_lease(self.now, self.bounds.lease_max);
         let acknowledged = session.ends_to_acknowledge(self.now);
         session.acknowledging_upto = acknowledged;
         let kind = OrderKind::Renew { lease_until, acknowledged, wait };
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -5,7 +5,7 @@
 
 use hg_ledger::{Command, WorkflowCommand, WorkflowEffect};
 use hg_model::{Term, Time};
-use hg_policy::{HostMove, RunStop, WorkflowScheduler};
+use hg_policy::{HostMove, RunStop, WorkflowBounds, WorkflowScheduler};
 use hg_replica::Disk;
 use slog::{debug, info};
 
@@ -21,8 +21,6 @@
 const DECIDE_EVERY: Duration = Duration::from_millis(100);
 /// How often ended workflows and unconfirmed ends are cleaned up.
 const CLEAN_UP_EVERY: Duration = Duration::from_secs(2);
-/// How long ended workflows are retained at least, in milliseconds.
-const RETAIN_ENDED_MS: u64 = 30 * 60 * 1_000;
 
 /// The leader's state about workflows that is not replicated; it lasts for one leadership term.
 #[derive(Debug)]
@@ -40,11 +38,12 @@
 }
 
 impl WorkflowLeadership {
-    pub(crate) fn new(now: Time, term: Term, sessions: Sessions) -> Self {
+    pub(crate) fn new(now: Time, term: Term, sessions: Sessions, bounds: WorkflowBounds) -> Self {
+        let first_host_order_at = now.after(bounds.first_host_order_after());
         Self {
             sessions,
-            scheduler: WorkflowScheduler::new(),
-            platform_calls: PlatformCalls::new(now, term),
+            scheduler: WorkflowScheduler::new(bounds),
+            platform_calls: PlatformCalls::new(first_host_order_at, term),
             broken_gangs: BrokenGangs::default(),
             pending_starts: 0,
             changed: true,
@@ -56,9 +55,9 @@
 
 impl<D: Disk> Core<D> {
     pub(crate) fn start_workflow_leadership(&self, now: Time, term: Term) -> WorkflowLeadership {
-        let lease_max_ms = self.cfg.workflows.lease_max_ms;
-        let sessions = Sessions::new(now, term, lease_max_ms, self.ledger.workflows());
-        WorkflowLeadership::new(now, term, sessions)
+        let bounds = self.cfg.workflows;
+        let sessions = Sessions::new(now, term, bounds, self.ledger.workflows());
+        WorkflowLeadership::new(now, term, sessions, bounds)
     }
 
     /// How many upstreams get no new work now; 0 unless this replica leads.
@@ -183,7 +182,8 @@
         let mut work = Work::default();
         leadership.sessions.forget_unconfirmed_ends(now, self.ledger.workflows(), &mut work);
         self.carry_out_work(now, work);
-        let before = Time(now.0.saturating_sub(RETAIN_ENDED_MS));
+        let retained = self.cfg.workflows.retain_ended().as_millis();
+        let before = Time(now.0.saturating_sub(u64::try_from(retained).unwrap_or(u64::MAX)));
         if self.ledger.workflows().oldest_end_time().is_some_and(|at| at < before) {
             let command = Command::Workflow(WorkflowCommand::Forget { before });
             self.propose(now, command, Purpose::Kept);
--- a/crates/hg_control/src/workflow/platform_calls.rs
+++ b/crates/hg_control/src/workflow/platform_calls.rs
@@ -9,9 +9,6 @@
 
 use super::{HostOrder, HostOrderKind, HostOrderResult, PlatformCall};
 
-/// A new leader gives no order about a host for this long: an order of an earlier leader may be in flight,
-/// and the platform treats alternating orders of two holders as a fault.
-const FIRST_ORDER_AFTER: Duration = Duration::from_millis(3_500);
 /// How often the hosts are listed while a wave runs or the catalog has a standby pool.
 const LIST_EVERY: Duration = Duration::from_millis(2_000);
 /// Pause before an order about a host is sent again.
@@ -27,7 +24,9 @@
 #[derive(Debug)]
 pub(crate) struct PlatformCalls {
     term: Term,
-    since: Time,
+    /// No order about a host is given before: an order of an earlier leader may be in flight, and the platform
+    /// treats alternating orders of two holders as a fault.
+    first_order_at: Time,
     pub(crate) hosts: BTreeMap<HostName, HostReport>,
     listed_at: Option<Time>,
     listing_sent_at: Option<Time>,
@@ -40,10 +39,10 @@
 }
 
 impl PlatformCalls {
-    pub(crate) const fn new(now: Time, term: Term) -> Self {
+    pub(crate) const fn new(first_order_at: Time, term: Term) -> Self {
         Self {
             term,
-            since: now,
+            first_order_at,
             hosts: BTreeMap::new(),
             listed_at: None,
             listing_sent_at: None,
@@ -73,7 +72,7 @@
             self.listing_sent_at = Some(now);
             due.push(PlatformCall::ListHosts);
         }
-        if now < self.since.after(FIRST_ORDER_AFTER) {
+        if now < self.first_order_at {
             return due;
         }
         for (host, kind) in self.pending_orders(ledger) {
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -162,13 +162,13 @@
 }
 
 impl Session {
-    /// An incarnation that is tracked from `now` on; leases of up to `lease_max_ms` may have been granted
+    /// An incarnation that is tracked from `now` on; leases of up to `lease_max` may have been granted
     /// before.
     pub(super) fn new(
         now: Time,
         incarnation: Incarnation,
         address: SocketAddr,
-        lease_max_ms: u64,
+        lease_max: Duration,
     ) -> Self {
         Self {
             incarnation,
@@ -176,7 +176,7 @@
             last_contact: now,
             clock: None,
             lease_until: None,
-            earlier_leases_until: now.after(on_slow_clock(lease_max_ms)).after(LEASE_MARGIN),
+            earlier_leases_until: now.after(on_slow_clock(lease_max)).after(LEASE_MARGIN),
             needs_initial_listing: false,
             pending_renewal: None,
             renew_at: now,
@@ -240,14 +240,14 @@
     /// A lower bound of what its clock reads now.
     fn clock_at(&self, now: Time) -> Option<ClockReading> {
         let (reading, at) = self.clock?;
-        let elapsed = u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
+        let elapsed = millis(now.since(at));
         Some(ClockReading(reading.0 + elapsed * (100 - CLOCK_SLOW_PERCENT) / 100))
     }
 
-    /// Grants a lease of `ms` from now and returns the clock reading at which it ends; `None` if the clock is
+    /// Grants a lease of `span` from now and returns the clock reading at which it ends; `None` if the clock is
     /// unknown. The lease counts as granted from this call on.
-    pub(super) fn grant_lease(&mut self, now: Time, ms: u64) -> Option<ClockReading> {
-        let until = ClockReading(self.clock_at(now)?.0 + ms);
+    pub(super) fn grant_lease(&mut self, now: Time, span: Duration) -> Option<ClockReading> {
+        let until = ClockReading(self.clock_at(now)?.0 + millis(span));
         self.lease_until = self.lease_until.max(Some(until));
         Some(until)
     }
@@ -258,7 +258,7 @@
             return false;
         }
         let Some(until) = self.lease_until else { return true };
-        let margin = u64::try_from(LEASE_MARGIN.as_millis()).unwrap_or(u64::MAX);
+        let margin = millis(LEASE_MARGIN);
         self.clock_at(now).is_some_and(|clock| clock.0 > until.0.saturating_add(margin))
     }
 
@@ -292,8 +292,8 @@
     ///
     /// An unanswered order may have been carried out all the same. So no lease is extended while the upstream
     /// is unresponsive; otherwise the leases that it may hold would never expire.
-    pub(super) fn renewal_lease(&mut self, now: Time, ms: u64) -> Option<ClockReading> {
-        if self.unanswered_in_a_row > 0 { None } else { self.grant_lease(now, ms) }
+    pub(super) fn renewal_lease(&mut self, now: Time, span: Duration) -> Option<ClockReading> {
+        if self.unanswered_in_a_row > 0 { None } else { self.grant_lease(now, span) }
     }
 
     /// The highest number of an end that may be acknowledged now; 0 for none.
@@ -317,7 +317,11 @@
     proposed.is_some_and(|at| now < at.after(PROPOSAL_TIMEOUT))
 }
 
-/// The longest time that `ms` on an upstream's clock can take by the leader's clock.
-fn on_slow_clock(ms: u64) -> Duration {
-    Duration::from_millis(ms * 100 / (100 - CLOCK_SLOW_PERCENT) + 1)
+/// The longest time that `span` on an upstream's clock can take by the leader's clock.
+fn on_slow_clock(span: Duration) -> Duration {
+    Duration::from_millis(millis(span) * 100 / (100 - CLOCK_SLOW_PERCENT) + 1)
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -8,7 +8,7 @@
     ClockReading, HeartbeatReadings, Incarnation, StepId, TaskId, Term, Time, UpstreamName,
     UpstreamReport,
 };
-use hg_policy::{FleetObservations, PaceChange, TicketCache};
+use hg_policy::{FleetObservations, PaceChange, TicketCache, WorkflowBounds};
 
 use super::dispatch::Dispatch;
 use super::reports::{RunReport, on_pace_report, on_renewal, on_run_report};
@@ -17,8 +17,6 @@
 
 /// How long the acknowledgement of ends to an upstream without runs is delayed, so that more ends share it.
 const ACKNOWLEDGE_DELAY: Duration = Duration::from_millis(50);
-/// An upstream that sent nothing for this long gets no new work: two heartbeat intervals and some slack.
-const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(3_300);
 /// An upstream that sent nothing for this long and runs nothing is deregistered.
 const DEREGISTER_AFTER: Duration = Duration::from_secs(60);
 
@@ -37,7 +35,7 @@
 #[derive(Debug)]
 pub(crate) struct Sessions {
     term: Term,
-    lease_max_ms: u64,
+    bounds: WorkflowBounds,
     sessions: BTreeMap<UpstreamName, Session>,
     /// Incarnations that have ended; late messages from them are ignored.
     departed: BTreeMap<UpstreamName, Incarnation>,
@@ -52,7 +50,7 @@
     pub(crate) fn fleet(&self, now: Time) -> FleetObservations {
         let is_excluded = |session: &Session| {
             now < session.suspect_until
-                || now >= session.last_contact.after(UNRESPONSIVE_AFTER)
+                || now >= session.last_contact.after(self.bounds.unresponsive_after())
                 || !session.has_clock()
         };
         let excluded = self.sessions.iter().filter(|(_, s)| is_excluded(s));
@@ -90,10 +88,15 @@
 /// Commands.
 impl Sessions {
     /// Starts from the replicated state; earlier leaders may have sent orders of which it holds no trace.
-    pub(crate) fn new(now: Time, term: Term, lease_max_ms: u64, ledger: &WorkflowLedger) -> Self {
+    pub(crate) fn new(
+        now: Time,
+        term: Term,
+        bounds: WorkflowBounds,
+        ledger: &WorkflowLedger,
+    ) -> Self {
         let mut sessions = Self {
             term,
-            lease_max_ms,
+            bounds,
             sessions: BTreeMap::new(),
             departed: BTreeMap::new(),
             early_clocks: BTreeMap::new(),
@@ -115,7 +118,8 @@
             session.address = report.address;
             return;
         }
-        let mut session = Session::new(now, report.incarnation, report.address, self.lease_max_ms);
+        let mut session =
+            Session::new(now, report.incarnation, report.address, self.bounds.lease_max);
         let earlier = self.sessions.get(&report.name);
         if let Some((incarnation, clock, at)) = self.early_clocks.remove(&report.name)
             && incarnation == report.incarnation
@@ -266,11 +270,12 @@
         let mut lost = Vec::new();
         for (name, session) in &mut self.sessions {
             let (term, next) = (self.term, &mut self.next_order);
-            let mut dispatch = Dispatch { term, next, name, now, work, tickets };
+            let bounds = &self.bounds;
+            let mut dispatch = Dispatch { term, next, name, now, work, tickets, bounds };
             dispatch.stop_orphans(session);
             dispatch.send_runs(session, ledger, &mut lost);
             dispatch.send_paces(session);
-            dispatch.send_renewal(session, ledger, self.lease_max_ms);
+            dispatch.send_renewal(session, ledger);
             if now >= session.last_contact.after(DEREGISTER_AFTER) && session.runs.is_empty() {
                 session.last_contact = now;
                 work.commands.push(session.deregistration(now, name));
--- a/crates/hg_control/tests/new_leader.rs
+++ b/crates/hg_control/tests/new_leader.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use hg_control::{Core, CoreConfig, Event, Ticket, WorkflowConfig};
+use hg_control::{Core, CoreConfig, Event, Ticket};
 use hg_ledger::Ledger;
 use hg_link::{EntryHeartbeat, Reply, Request, encode};
 use hg_model::{
@@ -15,7 +15,7 @@
     ListVersion, Lists, NotRunReason, OperationId, Plan, PlanName, RackName, Resources, Shape,
     Term, Time, UpstreamHeartbeat, UpstreamName, UpstreamSpec,
 };
-use hg_policy::PolicyConfig;
+use hg_policy::{PolicyConfig, WorkflowBounds};
 use hg_replica::{Configuration, Index, Peer, ReplicaId, Snapshot, Storage, Timing};
 use hg_settings::ControlLimits;
 use memory_disk::MemoryDisk;
@@ -45,7 +45,7 @@
             timing: Timing::default(),
             limits: ControlLimits::default(),
             policy: PolicyConfig::default(),
-            workflows: WorkflowConfig::default(),
+            workflows: WorkflowBounds::default(),
         };
         let log = Logger::root(Discard, o!());
         Self { core: Core::new(storage, cfg, log, Time(now), 1), now, ticket: 0 }
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -3,18 +3,23 @@
 
 mod workflow_world;
 
+use std::time::Duration;
+
 use hg_model::{ResourceVector, StepSpec, WorkflowSpec};
+use hg_policy::WorkflowBounds;
 use workflow_world::{Faults, World};
 
 /// Number of seeds for each mix of faults; `HG_SEEDS` sets another number.
 const SEEDS: u64 = 60;
+/// Number of seeds for each scale of the time bounds.
+const SCALED_SEEDS: u64 = 20;
 /// Number of workflows submitted while faults are injected.
 const JOBS: u32 = 30;
 /// Number of workflows submitted afterwards.
 const LATE_JOBS: u32 = 10;
-/// After this time without faults, leases that were not renewed have expired and the work lost with them has
-/// been done again, in milliseconds.
-const LAST_LEASES_MS: u64 = 20_000;
+/// After this many of the longest leases without faults, leases that were not renewed have expired and the work
+/// lost with them has been done again.
+const LAST_LEASES: u64 = 2;
 /// How long all workflows may take to end once there are no more faults, in milliseconds.
 const SETTLE_MS: u64 = 60_000;
 
@@ -32,7 +37,11 @@
 }
 
 fn run_seed(seed: u64, faults: Faults) {
-    let mut world = World::new(seed, faults);
+    play(World::new(seed, faults));
+}
+
+/// Plays a world with faults and then without, and checks that all workflows end.
+fn play(mut world: World) {
     for number in 0..JOBS {
         world.submit(number);
         world.run(500);
@@ -40,7 +49,8 @@
     }
     world.run(5_000);
     world.stop_faults();
-    world.run(LAST_LEASES_MS);
+    let last_leases_ms = LAST_LEASES * world.lease_max_ms();
+    world.run(last_leases_ms);
     let wasted = world.wasted();
     for number in JOBS..JOBS + LATE_JOBS {
         world.submit(number);
@@ -53,7 +63,7 @@
     }
     let unfinished = world.unfinished();
     assert!(unfinished.is_empty(), "not ended after {SETTLE_MS} ms: {unfinished:?}");
-    world.run(LAST_LEASES_MS);
+    world.run(last_leases_ms);
     assert_eq!(world.running(), 0, "no run is left of workflows that have ended");
     assert_eq!(world.wasted(), wasted, "no work is lost without faults");
 }
@@ -114,6 +124,43 @@
     run_seeds(Faults { lease_gaps: 500, failing_runs: 30, ..Faults::default() });
 }
 
+#[test]
+fn workflows_end_with_bounds_at_half_and_at_twice_the_defaults() {
+    let faults = Faults {
+        lost_orders: 30,
+        late_orders: 30,
+        failing_runs: 50,
+        disconnects: 100,
+        crashes: 50,
+        leader_changes: 50,
+        ..Faults::default()
+    };
+    for percent in [50, 200] {
+        for seed in 0..SCALED_SEEDS {
+            eprintln!("bounds at {percent} %, seed {seed}");
+            play(World::with_bounds(seed, faults, scaled_bounds(percent)));
+        }
+    }
+}
+
+/// The default bounds at a share.
+fn scaled_bounds(percent: u32) -> WorkflowBounds {
+    let of = |span: Duration| span * percent / 100;
+    let bounds = WorkflowBounds::default();
+    WorkflowBounds {
+        reclaim: of(bounds.reclaim),
+        stop: of(bounds.stop),
+        restore: of(bounds.restore),
+        gang_wait: of(bounds.gang_wait),
+        lease_max: of(bounds.lease_max),
+        heartbeat: of(bounds.heartbeat),
+        upkeep: of(bounds.upkeep),
+        host_lease: of(bounds.host_lease),
+        pace: of(bounds.pace),
+        status: of(bounds.status),
+    }
+}
+
 #[test]
 fn gang_restarts_before_the_lease_of_a_permanently_lost_member_expires() {
     let mut world = World::new(1, Faults::default());
--- a/crates/hg_control/tests/workflow_world/stand_in.rs
+++ b/crates/hg_control/tests/workflow_world/stand_in.rs
@@ -1,6 +1,7 @@
 //! A stand-in upstream that behaves as the platform specifies.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use hg_control::{Order, OrderKind, OrderResult, StartRefusal};
 use hg_model::{
@@ -8,14 +9,12 @@
     RunNumber, StepId, TaskId, Term, UpstreamName,
 };
 
+use hg_policy::WorkflowBounds;
+
 use super::oracle::Oracle;
 
-/// Longest lease, in milliseconds.
-const LEASE_MAX_MS: u64 = 10_000;
-/// How long the members of a gang wait for each other.
-const GANG_WAIT_MS: u64 = 3_000;
-/// How long a stop takes.
-const STOP_DURATION_MS: u64 = 300;
+/// How long a stop takes, in percent of its bound.
+const STOP_PERCENT: u64 = 75;
 
 #[derive(Debug)]
 struct Run {
@@ -35,6 +34,8 @@
     pub capacity: ResourceVector,
     /// Whether no message reaches it or comes back.
     pub disconnected: bool,
+    /// The time bounds that it keeps.
+    bounds: WorkflowBounds,
     started_at: u64,
     fence: Term,
     lease_until: u64,
@@ -46,12 +47,19 @@
 }
 
 impl StandIn {
-    pub fn new(name: UpstreamName, incarnation: u64, capacity: ResourceVector, now: u64) -> Self {
+    pub fn new(
+        name: UpstreamName,
+        incarnation: u64,
+        capacity: ResourceVector,
+        bounds: WorkflowBounds,
+        now: u64,
+    ) -> Self {
         Self {
             name,
             incarnation: Incarnation(incarnation),
             capacity,
             disconnected: false,
+            bounds,
             started_at: now,
             fence: Term(0),
             lease_until: 0,
@@ -100,10 +108,11 @@
         if lease_expired {
             oracle.lease_expired(&self.name);
         }
+        let gang_wait_ms = millis(self.bounds.gang_wait);
         let end_of = |run: &Run| match run.ends_at {
             _ if lease_expired => Some(EndKind::Lapsed),
             Some(at) if now >= at => Some(run.kind),
-            None if now >= run.since + GANG_WAIT_MS => Some(EndKind::Alone),
+            None if now >= run.since + gang_wait_ms => Some(EndKind::Alone),
             _ => None,
         };
         let due = self.running.iter().filter_map(|(task, run)| Some((task, run.run, end_of(run)?)));
@@ -160,11 +169,12 @@
             }
             OrderKind::Stop { task, run } => {
                 self.close_run(task, *run);
+                let stopped_at = now + millis(self.bounds.stop) * STOP_PERCENT / 100;
                 let known = self.running.get_mut(task).filter(|known| known.run == *run);
                 if let Some(known) = known
-                    && known.ends_at.is_none_or(|at| at > now + STOP_DURATION_MS)
+                    && known.ends_at.is_none_or(|at| at > stopped_at)
                 {
-                    known.ends_at = Some(now + STOP_DURATION_MS);
+                    known.ends_at = Some(stopped_at);
                     known.kind = EndKind::Stopped;
                 }
                 OrderResult::Stopped(clock)
@@ -211,7 +221,7 @@
     }
 
     fn extend(&mut self, clock: ClockReading, until: u64) {
-        self.lease_until = self.lease_until.max(until.min(clock.0 + LEASE_MAX_MS));
+        self.lease_until = self.lease_until.max(until.min(clock.0 + millis(self.bounds.lease_max)));
     }
 
     fn forget(&mut self, acknowledged: u64, oracle: &mut Oracle) {
@@ -237,3 +247,7 @@
         }
     }
 }
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).expect("a bound")
+}
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -4,9 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use hg_control::{
-    Core, CoreConfig, Event, Order, OrderReport, OrderResult, Ticket, WorkflowConfig,
-};
+use hg_control::{Core, CoreConfig, Event, Order, OrderReport, OrderResult, Ticket};
 use hg_ledger::Ledger;
 use hg_link::{
     CallerAction, CallerRequest, Reply, Request, WorkflowReply, WorkflowRequest, encode,
@@ -16,7 +14,7 @@
     PoolName, PoolSpec, QueueName, QueueSpec, RackName, ResourceVector, RunNumber, StepId,
     StepSpec, TaskId, Term, Time, UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
 };
-use hg_policy::PolicyConfig;
+use hg_policy::{PolicyConfig, WorkflowBounds};
 use hg_replica::{Body, Configuration, Index, Message, Peer, ReplicaId, Snapshot, Storage, Timing};
 use hg_settings::{ControlLimits, LogFormat, LogLevel, LogSettings, new_log};
 use rand::{RngExt as _, SeedableRng as _};
@@ -33,7 +31,6 @@
 const NETWORK_DELAY_MAX_MS: u64 = 20;
 /// Longer than the leader's lease, shorter than the time after which a leader steps down, in milliseconds.
 const LEASE_GAP_MS: u64 = 580;
-const HEARTBEAT_MS: u64 = 1_500;
 const ATTEMPTS: u32 = 3;
 const UPSTREAMS: u32 = 6;
 const PER_RACK: u32 = 3;
@@ -81,6 +78,7 @@
 /// The simulated deployment.
 pub struct World {
     core: Core<MemoryDisk>,
+    bounds: WorkflowBounds,
     disk: MemoryDisk,
     now: u64,
     rng: ChaCha8Rng,
@@ -108,11 +106,17 @@
 
 impl World {
     pub fn new(seed: u64, faults: Faults) -> Self {
+        Self::with_bounds(seed, faults, WorkflowBounds::default())
+    }
+
+    /// The same in a deployment with other time bounds.
+    pub fn with_bounds(seed: u64, faults: Faults, bounds: WorkflowBounds) -> Self {
         let disk = MemoryDisk::default();
         let now = 1_000_000;
         let storage = Storage::create(disk.clone(), replica(), founding()).expect("memory");
         let mut world = Self {
-            core: core(storage, now, seed),
+            core: core(storage, bounds, now, seed),
+            bounds,
             disk,
             now,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -164,6 +168,11 @@
         }
     }
 
+    /// The longest lease that an upstream grants, in milliseconds.
+    pub fn lease_max_ms(&self) -> u64 {
+        u64::try_from(self.bounds.lease_max.as_millis()).expect("a bound")
+    }
+
     /// Injects no more faults from now on, except runs that fail.
     pub fn stop_faults(&mut self) {
         self.faults = Faults { failing_runs: self.faults.failing_runs, ..Faults::default() };
@@ -413,7 +422,8 @@
     }
 
     fn send_heartbeats(&mut self) {
-        if !self.now.is_multiple_of(HEARTBEAT_MS) {
+        let heartbeat_ms = u64::try_from(self.bounds.heartbeat.as_millis()).expect("a bound");
+        if !self.now.is_multiple_of(heartbeat_ms) {
             return;
         }
         let connected = self.upstreams.values().filter(|upstream| !upstream.disconnected);
@@ -426,7 +436,7 @@
 
     fn start_upstream(&mut self, name: &UpstreamName) {
         self.incarnations += 1;
-        let stand_in = StandIn::new(name.clone(), self.incarnations, HOST, self.now);
+        let stand_in = StandIn::new(name.clone(), self.incarnations, HOST, self.bounds, self.now);
         self.upstreams.insert(name.clone(), stand_in);
     }
 
@@ -484,7 +494,7 @@
         if self.chance(self.faults.leader_changes) {
             let storage = Storage::open(self.disk.clone()).expect("memory").expect("founded");
             let seed = self.rng.random_range(0..u64::MAX);
-            self.core = core(storage, self.now, seed);
+            self.core = core(storage, self.bounds, self.now, seed);
             trace(self.now, "another leader");
             self.pending_tickets.clear();
             self.in_flight.retain(|_, item| matches!(item, InFlight::Order(..)));
@@ -492,12 +502,17 @@
     }
 }
 
-fn core(storage: Storage<MemoryDisk>, now: u64, seed: u64) -> Core<MemoryDisk> {
+fn core(
+    storage: Storage<MemoryDisk>,
+    bounds: WorkflowBounds,
+    now: u64,
+    seed: u64,
+) -> Core<MemoryDisk> {
     let cfg = CoreConfig {
         timing: Timing::default(),
         limits: ControlLimits::default(),
         policy: PolicyConfig::default(),
-        workflows: WorkflowConfig::default(),
+        workflows: bounds,
     };
     Core::new(storage, cfg, logger(), Time(now), seed)
 }
--- a/crates/hg_policy/src/lib.rs
+++ b/crates/hg_policy/src/lib.rs
@@ -44,6 +44,7 @@
 pub use scheduler::{Abort, Decisions, Refusal, Scheduler, Shortage};
 pub use wait::WaitReason;
 pub use workflow::{
-    AdviceRequest, FleetObservations, HostMove, PaceChange, Rejection, RunStop, StopReason,
-    TicketCache, UpkeepOrder, WorkflowDecisions, WorkflowScheduler, admit,
+    AdviceRequest, BoundError, FleetObservations, HostMove, PaceChange, Rejection, RunStop,
+    StopReason, TicketCache, UpkeepOrder, WorkflowBounds, WorkflowDecisions, WorkflowScheduler,
+    admit,
 };
--- a/crates/hg_policy/src/workflow/evacuation.rs
+++ b/crates/hg_policy/src/workflow/evacuation.rs
@@ -13,32 +13,38 @@
 use super::FleetObservations;
 use super::speed_tracker::SpeedTracker;
 
-/// How long before an upstream leaves its runs are stopped: a stop takes under half a second, and
-/// the end of the run has to be listed and stored.
-const STOP_LEAD_TIME: Duration = Duration::from_millis(1_000);
-
-/// The runs that have to be stopped now.
+/// The runs that have to be stopped now; stops are ordered `lead_time` before an upstream leaves.
 pub(crate) fn evacuations(
     now: Time,
     ledger: &WorkflowLedger,
     fleet: &FleetObservations,
     speeds: &SpeedTracker,
+    lead_time: Duration,
 ) -> Vec<RunRef> {
     let mut runs = Vec::new();
     for (upstream, leaves_at) in &fleet.leaving {
-        collect_evacuations(now, ledger, speeds, upstream, *leaves_at, &mut runs);
+        let departure = Departure { upstream, leaves_at: *leaves_at, lead_time };
+        collect_evacuations(now, ledger, speeds, &departure, &mut runs);
     }
     runs
 }
 
+/// An upstream that leaves.
+struct Departure<'a> {
+    upstream: &'a UpstreamName,
+    leaves_at: Time,
+    /// How long before that its runs are stopped at the latest.
+    lead_time: Duration,
+}
+
 fn collect_evacuations(
     now: Time,
     ledger: &WorkflowLedger,
     speeds: &SpeedTracker,
-    upstream: &UpstreamName,
-    leaves_at: Time,
+    departure: &Departure<'_>,
     runs: &mut Vec<RunRef>,
 ) {
+    let Departure { upstream, leaves_at, lead_time } = *departure;
     for (task, open) in ledger.occupancy().runs(upstream) {
         let Some(spec) = ledger.step_spec(&task.step) else { continue };
         let left = speeds.time_left(now, task, open, spec.estimate_ms);
@@ -46,7 +52,7 @@
             continue;
         }
         let may_continue = spec.checkpointable || spec.long_running;
-        if !may_continue || now.after(STOP_LEAD_TIME) >= leaves_at {
+        if !may_continue || now.after(lead_time) >= leaves_at {
             let (upstream, task) = (upstream.clone(), task.clone());
             runs.push(RunRef { upstream, task, run: open.run });
         }
--- a/crates/hg_policy/src/workflow/holds.rs
+++ b/crates/hg_policy/src/workflow/holds.rs
@@ -4,18 +4,12 @@
 //! must not be given to another, and must not be kept for long if they do not become free.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use hg_model::{ResourceVector, StepId, Time, UpstreamName};
 
 use super::capacity_map::{Candidate, CapacityMap};
 use super::ready_steps::ReadyStep;
 
-/// How long resources are held for an urgent step while runs are being stopped for it. A stop takes
-/// well under half a second, so after this time something has gone wrong and another placement is
-/// better.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 #[derive(Debug)]
 struct Hold {
     placements: BTreeMap<u32, UpstreamName>,
@@ -47,10 +41,11 @@
 
 /// Commands.
 impl Holds {
-    /// Holds resources for a step from now on.
+    /// Holds resources for a step until `until`: after that something has gone wrong with the stops, and
+    /// another placement is better.
     pub(crate) fn add(
         &mut self,
-        now: Time,
+        until: Time,
         step: &ReadyStep<'_>,
         placements: BTreeMap<u32, UpstreamName>,
         capacity: &mut CapacityMap<'_>,
@@ -59,7 +54,7 @@
         for upstream in placements.values() {
             capacity.hold(upstream, &claim);
         }
-        let hold = Hold { placements, claim, until: now.after(HOLD_TIMEOUT) };
+        let hold = Hold { placements, claim, until };
         self.steps.insert(step.id.clone(), hold);
     }
 
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -22,11 +22,13 @@
 //! * `wave_scheduler` and `availability` take hosts down for upkeep (load: maintenance of a busy
 //!   pool).
 //! * `standby` borrows hosts and returns them (load: more work than a pool can hold, for a while).
+//! * [`WorkflowBounds`] holds the time bounds of the deployment, from which timeouts follow.
 //! * `admission` rejects jobs that can never run (load: jobs that no upstream can hold).
 //! * [`WorkflowScheduler`] combines them.
 
 mod admission;
 mod availability;
+mod bounds;
 mod capacity_map;
 mod evacuation;
 mod fleet_observations;
@@ -45,6 +47,7 @@
 mod wave_scheduler;
 
 pub use admission::{Rejection, admit};
+pub use bounds::{BoundError, WorkflowBounds};
 pub use fleet_observations::FleetObservations;
 pub use pace_controller::PaceChange;
 pub use scheduler::{RunStop, StopReason, WorkflowDecisions, WorkflowScheduler};
--- a/crates/hg_policy/src/workflow/pace_controller.rs
+++ b/crates/hg_policy/src/workflow/pace_controller.rs
@@ -22,8 +22,6 @@
 const PACE_MIN_PERCENT: u32 = 10;
 /// How much the pace rises at a time, in percentage points.
 const PACE_STEP_PERCENT: u32 = 10;
-/// How long a change takes to show in the measured latency, which covers the last half second.
-const SETTLE_TIME: Duration = Duration::from_millis(600);
 
 /// A run whose pace is to change.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,12 +40,18 @@
 }
 
 /// The paces that were ordered for best-effort runs.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PaceController {
     paces: BTreeMap<TaskId, Pace>,
+    /// How long a change takes to show in the measured latency.
+    settle_time: Duration,
 }
 
 impl PaceController {
+    pub(crate) const fn new(settle_time: Duration) -> Self {
+        Self { paces: BTreeMap::new(), settle_time }
+    }
+
     /// Returns the changes of pace that follow from an upstream's listing of its runs.
     pub(crate) fn record_listing(
         &mut self,
@@ -88,7 +92,7 @@
             return known.is_none_or(|pace| pace.percent < 100).then_some(100);
         };
         let Some(known) = known else { return Some(PACE_INITIAL_PERCENT) };
-        if now < known.changed.after(SETTLE_TIME) {
+        if now < known.changed.after(self.settle_time) {
             return None;
         }
         let next = if tail_percent >= SLOW_DOWN_FROM_PERCENT {
--- a/crates/hg_policy/src/workflow/preemption.rs
+++ b/crates/hg_policy/src/workflow/preemption.rs
@@ -13,22 +13,11 @@
 use hg_ledger::{RunRef, WorkflowLedger};
 use hg_model::{JobId, ResourceVector, StepId, TaskId, Time, UpstreamName};
 
+use super::WorkflowBounds;
 use super::capacity_map::CapacityMap;
 use super::placement::{Scope, is_below_upstream_limit, running_counts, scopes};
 use super::ready_steps::ReadyStep;
 
-/// The cost of a stop even if all progress is saved, in milliseconds of the task's run time: the
-/// task has to be loaded again.
-const RESUME_COST_MS: u64 = 600;
-
-/// For this long after the stop decision, the resources of a stopping run count as available at no
-/// cost: a stop takes half a second at most.
-const PENDING_STOP_LIMIT: Duration = Duration::from_millis(800);
-
-/// How long guaranteed work waits before it preempts urgent work: it has to start within 2.9 s, and
-/// preemption takes up to half a second, twice if the first try fails.
-const GUARANTEE_PREEMPTS_AFTER: Duration = Duration::from_millis(1_200);
-
 /// The cost of running outside the best rack, in run times of the step.
 const REMOTE_COST: u64 = 2;
 
@@ -48,90 +37,91 @@
     pub(crate) stops: Vec<RunRef>,
 }
 
+/// What preemption depends on beside the step and the capacity.
+#[derive(Debug)]
+pub(crate) struct PreemptionContext<'a> {
+    pub(crate) now: Time,
+    pub(crate) ledger: &'a WorkflowLedger,
+    /// Runs for which a stop was decided, with the time of that decision.
+    pub(crate) stopping: &'a BTreeMap<RunRef, Time>,
+    /// The urgent workflows that a guarantee covers.
+    pub(crate) covered: &'a BTreeSet<JobId>,
+    pub(crate) bounds: &'a WorkflowBounds,
+}
+
 /// Finds the cheapest set of runs to stop so that all waiting tasks of an urgent step fit.
 pub(crate) fn plan_preemption(
-    now: Time,
+    cx: &PreemptionContext<'_>,
     step: &ReadyStep<'_>,
     capacity: &CapacityMap<'_>,
-    ledger: &WorkflowLedger,
-    stopping: &BTreeMap<RunRef, Time>,
-    covered: &BTreeSet<JobId>,
 ) -> Option<PreemptionPlan> {
-    let victims = victims(now, step, ledger, stopping, covered);
-    let plans = scopes(now, step, capacity)
+    let victims = cx.victims(step);
+    let plans = scopes(cx.now, step, capacity)
         .into_iter()
         .filter_map(|scope| plan_in_scope(step, &scope, capacity, &victims));
     let (_, plan) = plans.min_by_key(|(cost, _)| *cost)?;
     Some(plan)
 }
 
-/// All victims that a step could preempt, including runs that are stopping already.
-fn victims(
-    now: Time,
-    step: &ReadyStep<'_>,
-    ledger: &WorkflowLedger,
-    stopping: &BTreeMap<RunRef, Time>,
-    covered: &BTreeSet<JobId>,
-) -> Vec<Victim> {
-    let mut gangs: BTreeMap<StepId, Victim> = BTreeMap::new();
-    let mut victims = Vec::new();
-    for upstream in ledger.occupancy().upstreams() {
-        for (task, open) in ledger.occupancy().runs(upstream) {
-            let at = RunRef { upstream: upstream.clone(), task: task.clone(), run: open.run };
-            if let Some(since) = stopping.get(&at) {
-                if now < since.after(PENDING_STOP_LIMIT) {
-                    victims.push(Victim { runs: vec![(at, open.claim)], cost: 0 });
+impl PreemptionContext<'_> {
+    /// All victims that a step could preempt, including runs that are stopping already.
+    fn victims(&self, step: &ReadyStep<'_>) -> Vec<Victim> {
+        let mut gangs: BTreeMap<StepId, Victim> = BTreeMap::new();
+        let mut victims = Vec::new();
+        for upstream in self.ledger.occupancy().upstreams() {
+            for (task, open) in self.ledger.occupancy().runs(upstream) {
+                let at = RunRef { upstream: upstream.clone(), task: task.clone(), run: open.run };
+                if let Some(since) = self.stopping.get(&at) {
+                    if self.now < since.after(self.bounds.stop_done()) {
+                        victims.push(Victim { runs: vec![(at, open.claim)], cost: 0 });
+                    }
+                    continue;
+                }
+                let Some(cost) = self.cost(task, open.since).filter(|_| self.may_stop(step, task))
+                else {
+                    continue;
+                };
+                let run = (at, open.claim);
+                if self.ledger.step_spec(&task.step).is_some_and(|spec| spec.gang) {
+                    let victim = gangs.entry(task.step.clone());
+                    let victim = victim.or_insert_with(|| Victim { runs: Vec::new(), cost: 0 });
+                    victim.runs.push(run);
+                    victim.cost += cost;
+                } else {
+                    victims.push(Victim { runs: vec![run], cost });
                 }
-                continue;
-            }
-            let is_preemptible = is_preemptible_by(now, step, ledger, task, covered);
-            let Some(cost) =
-                preemption_cost(now, ledger, task, open.since).filter(|_| is_preemptible)
-            else {
-                continue;
-            };
-            let run = (at, open.claim);
-            if ledger.step_spec(&task.step).is_some_and(|spec| spec.gang) {
-                let victim = gangs.entry(task.step.clone());
-                let victim = victim.or_insert_with(|| Victim { runs: Vec::new(), cost: 0 });
-                victim.runs.push(run);
-                victim.cost += cost;
-            } else {
-                victims.push(Victim { runs: vec![run], cost });
             }
         }
+        victims.extend(gangs.into_values());
+        victims
     }
-    victims.extend(gangs.into_values());
-    victims
-}
 
-/// Whether a step may preempt a run: the run's job is active, and either has a lower priority, or
-/// is urgent but not covered while the step is covered by a guarantee and has waited for
-/// `GUARANTEE_PREEMPTS_AFTER`.
-fn is_preemptible_by(
-    now: Time,
-    step: &ReadyStep<'_>,
-    ledger: &WorkflowLedger,
-    task: &TaskId,
-    covered: &BTreeSet<JobId>,
-) -> bool {
-    let Some(job) = ledger.job(&task.step.job).filter(|job| job.is_active()) else { return false };
-    let is_uncovered = job.terms.priority == 0 && !covered.contains(&task.step.job);
-    let may_preempt_uncovered =
-        step.is_covered() && now >= step.due.after(GUARANTEE_PREEMPTS_AFTER);
-    job.terms.priority > step.job.terms.priority || (may_preempt_uncovered && is_uncovered)
-}
+    /// Whether a step may preempt a run: the run's job is active, and either has a lower priority, or
+    /// is urgent but not covered while the step is covered by a guarantee and has waited for so long
+    /// that it would otherwise start too late.
+    fn may_stop(&self, step: &ReadyStep<'_>, task: &TaskId) -> bool {
+        let Some(job) = self.ledger.job(&task.step.job).filter(|job| job.is_active()) else {
+            return false;
+        };
+        let is_uncovered = job.terms.priority == 0 && !self.covered.contains(&task.step.job);
+        let may_preempt_uncovered =
+            step.is_covered() && self.now >= step.due.after(self.bounds.guarantee_preempts_after());
+        job.terms.priority > step.job.terms.priority || (may_preempt_uncovered && is_uncovered)
+    }
 
-/// The work that stopping a run throws away, in thousandths of a core times milliseconds; `None` if
-/// the run may not be stopped because it is long-running.
-fn preemption_cost(now: Time, ledger: &WorkflowLedger, task: &TaskId, since: Time) -> Option<u64> {
-    let spec = ledger.step_spec(&task.step)?;
-    if spec.long_running {
-        return None;
+    /// The work that stopping a run throws away, in thousandths of a core times milliseconds; `None` if
+    /// the run may not be stopped because it is long-running. Even if all progress is saved, the task has
+    /// to be restored.
+    fn cost(&self, task: &TaskId, since: Time) -> Option<u64> {
+        let spec = self.ledger.step_spec(&task.step)?;
+        if spec.long_running {
+            return None;
+        }
+        let progress = if spec.checkpointable { Duration::ZERO } else { self.now.since(since) };
+        let lost = progress.saturating_add(self.bounds.restore);
+        let lost_ms = u64::try_from(lost.as_millis()).unwrap_or(u64::MAX);
+        Some(lost_ms.saturating_mul(spec.per_task.weight()))
     }
-    let elapsed = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
-    let lost = if spec.checkpointable { RESUME_COST_MS } else { elapsed + RESUME_COST_MS };
-    Some(lost.saturating_mul(spec.per_task.weight()))
 }
 
 /// Places all waiting tasks within a scope and chooses victims where the free capacity does not
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -15,13 +15,16 @@
 use super::holds::Holds;
 use super::pace_controller::PaceController;
 use super::placement::place;
-use super::preemption::{PreemptionPlan, plan_preemption};
+use super::preemption::{PreemptionContext, PreemptionPlan, plan_preemption};
 use super::ready_steps::{ReadyStep, ready_steps};
 use super::reservation::{RESERVATIONS_MAX, reserve};
 use super::speed_tracker::{ExpectedRun, SpeedTracker};
 use super::standby::StandbyHosts;
 use super::wave_scheduler::WaveScheduler;
-use super::{AdviceRequest, FleetObservations, HostMove, PaceChange, TicketCache, UpkeepOrder};
+use super::{
+    AdviceRequest, FleetObservations, HostMove, PaceChange, TicketCache, UpkeepOrder,
+    WorkflowBounds,
+};
 use crate::{HealthState, UpstreamHealth};
 
 /// How many different jobs must fail on an upstream in a row before it is quarantined.
@@ -76,8 +79,9 @@
 /// Decides which tasks start where and which runs are stopped.
 ///
 /// Its memory beside the ledger belongs to one leadership term: a new leader starts without it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct WorkflowScheduler {
+    bounds: WorkflowBounds,
     holds: Holds,
     /// Runs for which a stop was decided, with the time of that decision.
     stopping: BTreeMap<RunRef, Time>,
@@ -115,8 +119,19 @@
 /// Commands.
 impl WorkflowScheduler {
     /// Creates a scheduler without observations, as a new leader does.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(bounds: WorkflowBounds) -> Self {
+        Self {
+            bounds,
+            holds: Holds::default(),
+            stopping: BTreeMap::new(),
+            health: UpstreamHealth::default(),
+            speeds: SpeedTracker::new(bounds.restore),
+            waves: WaveScheduler::new(bounds.upkeep_reserve()),
+            paces: PaceController::new(bounds.pace_settled()),
+            tickets: TicketCache::default(),
+            standby: StandbyHosts::default(),
+            headroom: Headroom::default(),
+        }
     }
 
     /// Records the end of a run on an upstream. Only completed and failed runs count for the
@@ -257,7 +272,7 @@
         for run in self.speeds.stragglers(now, ledger) {
             self.stop(run, StopReason::Straggler, round);
         }
-        for run in evacuations(now, ledger, fleet, &self.speeds) {
+        for run in evacuations(now, ledger, fleet, &self.speeds, self.bounds.stop_lead_time()) {
             self.stop(run, StopReason::Evacuated, round);
         }
         let waves = self.waves.round(now, ledger, fleet, &self.speeds, &self.stopping);
@@ -307,7 +322,8 @@
         for run in plan.stops {
             self.stop(run, StopReason::Preempted, round);
         }
-        self.holds.add(round.now, step, plan.placements, &mut round.capacity);
+        let until = round.now.after(self.bounds.hold_timeout());
+        self.holds.add(until, step, plan.placements, &mut round.capacity);
         false
     }
 
@@ -329,7 +345,14 @@
 
     fn plan_preemption(&self, step: &ReadyStep<'_>, round: &Round<'_>) -> Option<PreemptionPlan> {
         let Round { now, ledger, covered, capacity, .. } = round;
-        plan_preemption(*now, step, capacity, ledger, &self.stopping, covered)
+        let cx = PreemptionContext {
+            now: *now,
+            ledger,
+            stopping: &self.stopping,
+            covered,
+            bounds: &self.bounds,
+        };
+        plan_preemption(&cx, step, capacity)
     }
 }
 
--- a/crates/hg_policy/src/workflow/speed_tracker.rs
+++ b/crates/hg_policy/src/workflow/speed_tracker.rs
@@ -24,9 +24,6 @@
 /// least `STALL_SHORT_PERCENT` meanwhile.
 const STALL_SHORT_MS: u64 = 700;
 const STALL_SHORT_PERCENT: u64 = 25;
-/// Additional time for a task without siblings that has made no progress at all: it may still be
-/// loading.
-const LOAD_GRACE_MS: u64 = 600;
 /// How many ratios of run time to estimate are kept for each queue, and how many are needed to
 /// derive the typical one.
 const RATIOS_MAX: usize = 40;
@@ -100,8 +97,11 @@
 }
 
 /// The progress of runs, and the slowness of upstreams derived from it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct SpeedTracker {
+    /// Additional time for a task without siblings that has made no progress at all: it may still be
+    /// loading, or restoring its progress.
+    load_grace: Duration,
     runs: BTreeMap<TaskId, RunProgress>,
     upstreams: BTreeMap<UpstreamName, Slowness>,
     /// The latest ratios of run time to estimate, by queue.
@@ -184,6 +184,15 @@
 
 /// Commands.
 impl SpeedTracker {
+    pub(crate) const fn new(load_grace: Duration) -> Self {
+        Self {
+            load_grace,
+            runs: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            ratios: BTreeMap::new(),
+        }
+    }
+
     /// Records the progress of a run that an upstream listed.
     pub(crate) fn record_listed(
         &mut self,
@@ -250,7 +259,8 @@
             siblings.any(|other| other.rate().is_some())
                 && is_stalled(idle_ms, progress.estimate_ms)
         } else {
-            is_stalled(idle_ms.saturating_sub(LOAD_GRACE_MS), progress.estimate_ms)
+            let grace_ms = u64::try_from(self.load_grace.as_millis()).unwrap_or(u64::MAX);
+            is_stalled(idle_ms.saturating_sub(grace_ms), progress.estimate_ms)
         }
     }
 
--- a/crates/hg_policy/src/workflow/wave_scheduler.rs
+++ b/crates/hg_policy/src/workflow/wave_scheduler.rs
@@ -15,10 +15,6 @@
 use super::availability::may_disrupt;
 use super::speed_tracker::SpeedTracker;
 
-/// The part of a host's share of the wave's time that is reserved for the stops, the upkeep itself
-/// and the return of its upstream.
-const UPKEEP_RESERVE_MS: u64 = 4_000;
-
 /// An upkeep that may begin, since nothing runs on the host.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct UpkeepOrder {
@@ -29,9 +25,12 @@
 }
 
 /// The hosts that are being drained, and since when.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct WaveScheduler {
     draining: BTreeMap<HostName, Time>,
+    /// The part of a host's share of the wave's time that is reserved for the stops, the upkeep itself
+    /// and the return of its upstream.
+    reserve: Duration,
 }
 
 /// The result of one round.
@@ -44,6 +43,10 @@
 }
 
 impl WaveScheduler {
+    pub(crate) const fn new(reserve: Duration) -> Self {
+        Self { draining: BTreeMap::new(), reserve }
+    }
+
     /// Chooses the hosts to drain or to take down, and the runs to stop on them.
     pub(crate) fn round(
         &mut self,
@@ -59,7 +62,8 @@
             for host in self.next_hosts(wave, ledger, fleet) {
                 let since = self.draining.get(&host).copied().unwrap_or(now);
                 draining.insert(host.clone(), since);
-                let drain = HostDrain { now, ledger, speeds, stopping, wave, since };
+                let reserve = self.reserve;
+                let drain = HostDrain { now, ledger, speeds, stopping, wave, since, reserve };
                 drain.advance(&host, upstream_on(ledger, fleet, &host), &mut round);
             }
         }
@@ -96,6 +100,7 @@
     stopping: &'a BTreeMap<RunRef, Time>,
     wave: &'a Wave,
     since: Time,
+    reserve: Duration,
 }
 
 impl HostDrain<'_> {
@@ -130,13 +135,11 @@
     }
 
     /// How long runs that cannot save their progress may continue: the host's share of the wave's
-    /// time, less `UPKEEP_RESERVE_MS`.
+    /// time, less the reserve.
     fn drain_grace(&self) -> Duration {
         let hosts = u64::try_from(self.wave.hosts.len()).unwrap_or(u64::MAX);
         let batches = hosts.div_ceil(u64::from(self.wave.spec.down_max).max(1)).max(1);
-        Duration::from_millis(
-            (self.wave.spec.deadline_ms / batches).saturating_sub(UPKEEP_RESERVE_MS),
-        )
+        Duration::from_millis(self.wave.spec.deadline_ms / batches).saturating_sub(self.reserve)
     }
 }
 
--- a/crates/hg_policy/tests/workflow/harness.rs
+++ b/crates/hg_policy/tests/workflow/harness.rs
@@ -8,7 +8,7 @@
     Incarnation, JobId, Label, PoolName, QueueName, RackName, ResourceVector, RunEnd, StepSpec,
     Time, UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
 };
-use hg_policy::{FleetObservations, WorkflowDecisions, WorkflowScheduler};
+use hg_policy::{FleetObservations, WorkflowBounds, WorkflowDecisions, WorkflowScheduler};
 
 /// The capacity of every upstream of the pool.
 pub const UPSTREAM_CAPACITY: ResourceVector = ResourceVector::new(8, 32_000, 131_072);
@@ -45,9 +45,14 @@
 impl Harness {
     /// Creates a pool of `racks` racks with `per_rack` upstreams each.
     pub fn new(racks: u32, per_rack: u32) -> Self {
+        Self::with_bounds(racks, per_rack, WorkflowBounds::default())
+    }
+
+    /// The same with other time bounds.
+    pub fn with_bounds(racks: u32, per_rack: u32, bounds: WorkflowBounds) -> Self {
         let mut harness = Self {
             ledger: WorkflowLedger::default(),
-            scheduler: WorkflowScheduler::new(),
+            scheduler: WorkflowScheduler::new(bounds),
             fleet: FleetObservations::default(),
             now: Time(1_000_000),
             advice: None,
--- a/crates/hg_policy/tests/workflow/starts_and_stops.rs
+++ b/crates/hg_policy/tests/workflow/starts_and_stops.rs
@@ -1,12 +1,14 @@
 //! Which tasks start where, and which runs are stopped.
 
+use std::time::Duration;
+
 use crate::harness::{Harness, job, run_of, upstream};
 use hg_ledger::{RunRef, SavedProgress, WorkflowCommand};
 use hg_model::{
     Checkpoint, ClockReading, EndKind, Incarnation, ListedRun, ResourceVector, RunListing,
     StepSpec, Time, UpstreamReport, WorkflowState,
 };
-use hg_policy::WorkflowDecisions;
+use hg_policy::{WorkflowBounds, WorkflowDecisions};
 
 const WHOLE_UPSTREAM: ResourceVector = ResourceVector::new(8, 8_000, 16_384);
 const ONE_ACCELERATOR: ResourceVector = ResourceVector::new(1, 2_800, 8_200);
@@ -277,7 +279,11 @@
 
 /// A pool full of one account's urgent work, half of which its guarantee covers.
 fn flooded_pool() -> (Harness, Vec<RunRef>) {
-    let mut harness = Harness::new(1, 4);
+    flooded_pool_with(WorkflowBounds::default())
+}
+
+fn flooded_pool_with(bounds: WorkflowBounds) -> (Harness, Vec<RunRef>) {
+    let mut harness = Harness::with_bounds(1, 4, bounds);
     harness.guarantee(&[("flood", 16), ("other", 16)]);
     for number in 0..4 {
         harness.submit_for("flood", &format!("flood-{number}"), 0, vec![gang_step(1)]);
@@ -314,6 +320,35 @@
     assert_eq!(runs.len(), 4);
 }
 
+/// A deployment may promise guaranteed capacity sooner or later than the default: the latest moment to preempt
+/// follows its bounds, with time for two stops.
+#[test]
+fn guaranteed_work_starts_in_time_with_bounds_at_half_and_at_twice_the_defaults() {
+    for percent in [50, 100, 200] {
+        let bounds = WorkflowBounds::default();
+        let (reclaim, stop) = (bounds.reclaim * percent / 100, bounds.stop * percent / 100);
+        let bounds = WorkflowBounds { reclaim, stop, ..bounds };
+        let (mut harness, _) = flooded_pool_with(bounds);
+        harness.submit_for("other", "claim", 0, vec![gang_step(2)]);
+        let accepted = harness.now;
+        let mut stops = Vec::new();
+        while stops.is_empty() {
+            stops = stopped_runs(harness.round(50));
+            let latest = accepted.after(reclaim.saturating_sub(2 * stop));
+            assert!(harness.now < latest, "at {percent} % nothing was stopped until {latest:?}");
+        }
+        let stopped_after = harness.now.since(accepted);
+        assert!(
+            stopped_after >= Duration::from_millis(u64::from(percent) * 2),
+            "{percent} %: early"
+        );
+        for stop in &stops {
+            harness.end(stop, EndKind::Stopped);
+        }
+        assert_eq!(harness.round(10).starts.len(), 2, "{percent} %");
+    }
+}
+
 #[test]
 fn urgent_work_beyond_a_guarantee_preempts_no_urgent_work() {
     let (mut harness, _) = flooded_pool();
