--- a/crates/hg_cli/src/arguments.rs
+++ b/crates/hg_cli/src/arguments.rs
@@ -36,7 +36,12 @@
         .subcommand(
             Command::new("explain")
                 .about("Reads logs of all processes from standard input and shows a job's history")
-                .arg(id()),
+                .arg(id().required(false).required_unless_present("day").conflicts_with("day"))
+                .arg(
+                    Arg::new("day").long("day").action(ArgAction::SetTrue).help(
+                        "Sums all jobs up instead: which were late, and where their time went",
+                    ),
+                ),
         )
 }
 
--- a/crates/hg_cli/src/explain.rs
+++ b/crates/hg_cli/src/explain.rs
@@ -1,79 +1,24 @@
-//! `explain`: reconstructs the history of one job from the logs of all processes.
+//! `explain`: reconstructs the history of one job from the logs of all processes, or sums a whole day up.
 
 use std::collections::BTreeSet;
-use std::io::BufRead;
 
 use clap::ArgMatches;
-use serde_json::{Map, Value};
 
+use crate::day_report::DayReport;
 use crate::exit::{BadInput, Exit};
+use crate::log_line::{LogLine, read_lines};
 
-/// Fields that are not part of a line's details.
-const OMITTED_FIELDS: [&str; 6] = ["msg", "level", "ts", "host", "event", "job"];
 /// Events of an upstream that show why its runs ended.
 const UPSTREAM_EVENTS: [&str; 3] = ["order.failed", "upstream.registered", "upstream.gone"];
 /// Events that show changes of leadership, which explain why nothing was decided for a while.
 const LEADERSHIP_EVENTS: [&str; 2] = ["lead.begin", "lead.end"];
 
-/// A log line with an event.
-#[derive(Debug)]
-struct Line {
-    /// The time of day, in seconds since midnight.
-    at: f64,
-    host: String,
-    event: String,
-    fields: Map<String, Value>,
-}
-
-impl Line {
-    /// Parses a line, ignoring any text before the JSON object. `None` if the line is incomplete or
-    /// has no timestamp or event.
-    fn parse(text: &str) -> Option<Self> {
-        let json = text.get(text.find('{')?..)?;
-        let fields: Map<String, Value> = serde_json::from_str(json).ok()?;
-        let text = |name: &str| fields.get(name).and_then(Value::as_str).map(str::to_owned);
-        let at = seconds_of(&text("ts")?)?;
-        let (host, event) = (text("host").unwrap_or_default(), text("event")?);
-        Some(Self { at, host, event, fields })
-    }
-
-    /// The value of a field, if it is a string.
-    fn text(&self, name: &str) -> Option<&str> {
-        self.fields.get(name)?.as_str()
-    }
-
-    /// Whether the line is about the job, one of its steps or tasks, or an HTTP path that ends with
-    /// its id.
-    fn is_about(&self, job: &str) -> bool {
-        let is_of_job = |task: &str| task.split('.').next() == Some(job);
-        self.text("job") == Some(job)
-            || self.text("task").is_some_and(is_of_job)
-            || self.text("step").is_some_and(is_of_job)
-            || self.text("path").is_some_and(|path| path.ends_with(job))
-    }
-
-    /// The fields of the line as `name=value`, without those that are omitted.
-    fn details(&self) -> String {
-        let shown = self.fields.iter().filter(|(name, _)| !OMITTED_FIELDS.contains(&name.as_str()));
-        let shown = shown.map(|(name, value)| match value {
-            Value::String(text) => format!("{name}={text}"),
-            other => format!("{name}={other}"),
-        });
-        shown.collect::<Vec<_>>().join(" ")
-    }
-}
-
-/// The time of day in a timestamp such as `2026-05-21T14:43:06.024488066Z`, in seconds.
-fn seconds_of(timestamp: &str) -> Option<f64> {
-    let (_, time) = timestamp.split_once('T')?;
-    let mut parts = time.trim_end_matches('Z').splitn(3, ':');
-    let mut next = || parts.next()?.parse::<f64>().ok();
-    let (hours, minutes, seconds) = (next()?, next()?, next()?);
-    Some(hours * 3_600.0 + minutes * 60.0 + seconds)
-}
-
 /// Runs `explain`.
 pub(crate) fn run(matches: &ArgMatches) -> eyre::Result<Exit> {
+    if matches.get_flag("day") {
+        print!("{}", DayReport::new(&read_lines(std::io::stdin().lock())?));
+        return Ok(Exit::Success);
+    }
     let job: &String = matches.get_one("id").ok_or_else(|| eyre::eyre!("clap requires an id"))?;
     let lines = read_lines(std::io::stdin().lock())?;
     let history = history(lines, job);
@@ -90,19 +35,10 @@
     Ok(Exit::Success)
 }
 
-/// Parses all lines of the input; skips those that are no log lines with an event.
-fn read_lines(input: impl BufRead) -> eyre::Result<Vec<Line>> {
-    let mut lines = Vec::new();
-    for line in input.split(b'\n') {
-        lines.extend(Line::parse(&String::from_utf8_lossy(&line?)));
-    }
-    Ok(lines)
-}
-
 /// The lines that show what happened to a job, ordered by time, without repeated lines about the
 /// job. Adds the changes of leadership between the job's first and last line, and events of the
 /// upstreams on which its runs were lost.
-fn history(lines: Vec<Line>, job: &str) -> Vec<Line> {
+fn history(lines: Vec<LogLine>, job: &str) -> Vec<LogLine> {
     let of_job = || lines.iter().filter(|line| line.is_about(job));
     let Some(begin) = of_job().map(|line| line.at).min_by(f64::total_cmp) else {
         return Vec::new();
@@ -112,7 +48,7 @@
     let lost: BTreeSet<String> =
         lost.filter_map(|l| l.text("upstream")).map(str::to_owned).collect();
     let mut seen = BTreeSet::new();
-    let mut history: Vec<Line> = Vec::new();
+    let mut history: Vec<LogLine> = Vec::new();
     for line in lines {
         let is_in_period = (begin..=end).contains(&line.at);
         let is_of_lost_upstream = UPSTREAM_EVENTS.contains(&line.event.as_str())
@@ -134,7 +70,7 @@
 }
 
 /// One sentence about the job's outcome and its cause.
-fn summary(history: &[Line]) -> String {
+fn summary(history: &[LogLine]) -> String {
     let last = |event: &str| history.iter().rev().find(|line| line.event == event);
     if let Some(line) = last("workflow.rejected") {
         return format!("Rejected: {}.", line.text("reason").unwrap_or("no reason was logged"));
@@ -158,12 +94,12 @@
 }
 
 /// The longest time between two events that show progress, in seconds, and the event that ended it.
-fn longest_wait(history: &[Line]) -> (f64, Option<&Line>) {
+fn longest_wait(history: &[LogLine]) -> (f64, Option<&LogLine>) {
     let progress = history.iter().filter(|line| {
         ["workflow.accepted", "run.placed", "run.ended", "run.lost", "workflow.ended"]
             .contains(&line.event.as_str())
     });
-    let progress: Vec<&Line> = progress.collect();
+    let progress: Vec<&LogLine> = progress.collect();
     let gaps = progress.windows(2).map(|pair| (pair[1].at - pair[0].at, Some(pair[1])));
     gaps.max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or((0.0, None))
 }
--- a/crates/hg_cli/src/main.rs
+++ b/crates/hg_cli/src/main.rs
@@ -3,11 +3,13 @@
 mod arguments;
 mod client;
 mod control;
+mod day_report;
 mod exit;
 mod explain;
 mod jobs;
 mod keys;
 mod lists;
+mod log_line;
 mod upstreams;
 
 use clap::ArgMatches;
--- a/crates/hg_cli/tests/explain.rs
+++ b/crates/hg_cli/tests/explain.rs
@@ -9,9 +9,9 @@
 /// A job with a gang that failed as often as is allowed.
 const FAILED_JOB: &str = "d015e66ffd9a38b4";
 
-fn explain(job: &str, log: &str) -> eyre::Result<Output> {
+fn explain(argument: &str, log: &str) -> eyre::Result<Output> {
     let mut child = Command::new(env!("CARGO_BIN_EXE_heathergrade"))
-        .args(["explain", job])
+        .args(["explain", argument])
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -79,3 +79,76 @@
     assert!(history.ends_with("Rejected: the pool cannot hold all members of step 0 at once.\n"));
     Ok(())
 }
+
+/// A log line of a control host at second `at` of the hour, with fields as JSON.
+fn line(at: f64, event: &str, fields: &str) -> String {
+    format!(
+        r#"{{"msg":"m","level":"INFO","ts":"2026-05-21T14:00:{at:06.3}Z","host":"c1",{fields},"event":"{event}"}}"#
+    )
+}
+
+fn accepted(at: f64, job: &str) -> String {
+    let fields = format!(
+        r#""job":"{job}","priority":0,"account":"lindqvist","chain_ms":2000,"objective_ms":4000"#
+    );
+    line(at, "workflow.accepted", &fields)
+}
+
+fn of_task(at: f64, event: &str, task: &str, more: &str) -> String {
+    line(at, event, &format!(r#""task":"{task}","run":1,"upstream":"u1"{more}"#))
+}
+
+/// One job in time, and one late: it waited 1 s for capacity and 0.5 s for stops, was preempted after 1 s, waited 0.25 s
+/// and ran 2.5 s.
+#[test]
+fn explain_day_divides_the_time_of_late_jobs_by_cause() -> eyre::Result<()> {
+    let log = [
+        accepted(1.0, "a"),
+        of_task(1.0, "run.placed", "a.0.0.0", ""),
+        of_task(3.0, "run.ended", "a.0.0.0", r#","kind":"Done""#),
+        line(3.0, "workflow.ended", r#""job":"a","state":"completed""#),
+        accepted(10.0, "b"),
+        of_task(
+            11.0,
+            "run.stop",
+            "x.0.0.0",
+            r#","reason":"room for an urgent step","for_step":"b.0.0""#,
+        ),
+        of_task(11.5, "run.placed", "b.0.0.0", ""),
+        of_task(12.2, "run.stop", "b.0.0.0", r#","reason":"room for an urgent step""#),
+        of_task(12.5, "run.ended", "b.0.0.0", r#","kind":"Stopped""#),
+        of_task(12.75, "run.placed", "b.0.0.0", ""),
+        of_task(15.25, "run.ended", "b.0.0.0", r#","kind":"Done""#),
+        line(15.25, "workflow.ended", r#""job":"b","state":"completed""#),
+        line(16.0, "workflow.rejected", r#""job":"c","reason":"fits nowhere""#),
+    ];
+    let report = explain_output("--day", &log.join("\n"))?;
+    let expected = [
+        "2 jobs accepted, 0 beginnings of leadership",
+        "rejected      1: fits nowhere",
+        "priority 0: 2 jobs: 1 in time, 1 late",
+        "        2.0 s  38.1 %  main cause of    0 late jobs: runs, as long as estimated",
+        "        1.2 s  23.8 %  main cause of    1 late jobs: waiting for capacity",
+        "        1.0 s  19.0 %  main cause of    0 late jobs: runs thrown away: preempted",
+        "        0.5 s   9.5 %  main cause of    0 late jobs: waiting for stops",
+        "        0.5 s   9.5 %  main cause of    0 late jobs: runs, beyond the estimate",
+        "   50 % of     2  lindqvist",
+    ];
+    for text in expected {
+        assert!(report.contains(text), "{text:?} is missing in:\n{report}");
+    }
+    Ok(())
+}
+
+#[test]
+fn explain_day_of_empty_logs_says_that_nothing_was_accepted() -> eyre::Result<()> {
+    assert!(explain_output("--day", "")?.starts_with("0 jobs accepted"));
+    Ok(())
+}
+
+#[test]
+fn explain_without_a_job_is_bad_input() -> eyre::Result<()> {
+    let output = Command::new(env!("CARGO_BIN_EXE_heathergrade")).arg("explain").output()?;
+    assert_eq!(output.status.code(), Some(2));
+    Ok(())
+}
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -140,9 +140,10 @@
         for job in jobs {
             telemetry::record_first_start(now, ledger, job);
         }
-        for RunStop { run, reason } in &decisions.stops {
+        for RunStop { run, reason, preempted_for } in &decisions.stops {
             info!(self.log, "workflow: stopping run"; "event" => "run.stop", "task" => %run.task,
-                "run" => run.run.0, "upstream" => %run.upstream, "reason" => %reason);
+                "run" => run.run.0, "upstream" => %run.upstream, "reason" => %reason,
+                "for_step" => preempted_for.as_ref().map(ToString::to_string));
             telemetry::record_stop(*reason);
             leadership.sessions.stop_run(run);
         }
--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -29,7 +29,8 @@
                 info!(self.log, "workflow: accepted"; "event" => "workflow.accepted", "job" => %id,
                     "queue" => %terms.queue, "priority" => terms.priority,
                     "account" => account.as_ref().map(ToString::to_string),
-                    "steps" => spec.steps.len(), "chain_ms" => spec.estimated_chain_ms());
+                    "steps" => spec.steps.len(), "chain_ms" => spec.estimated_chain_ms(),
+                    "objective_ms" => terms.latency_objective_ms(spec));
             }
             WorkflowCommand::Cancel { id, .. } => {
                 info!(self.log, "workflow: cancelled"; "event" => "workflow.cancelled", "job" => %id);
--- a/crates/hg_ledger/src/workflow/record.rs
+++ b/crates/hg_ledger/src/workflow/record.rs
@@ -40,6 +40,12 @@
             advice: queue.advice,
         }
     }
+
+    /// The latency objective of a workflow of this queue, in milliseconds.
+    pub fn latency_objective_ms(&self, spec: &WorkflowSpec) -> u64 {
+        let stretched = spec.estimated_chain_ms().saturating_mul(u64::from(self.stretch_milli));
+        (stretched / 1_000).saturating_add(self.objective_ms)
+    }
 }
 
 /// Whether a workflow may still start tasks.
--- a/crates/hg_policy/src/workflow/ready_steps.rs
+++ b/crates/hg_policy/src/workflow/ready_steps.rs
@@ -151,8 +151,7 @@
 
 fn rank(now: Time, job: &Workflow, due: Time, is_covered: bool) -> Rank {
     let chain_ms = job.spec.estimated_chain_ms();
-    let stretched = chain_ms.saturating_mul(u64::from(job.terms.stretch_milli)) / 1_000;
-    let objective_ms = stretched.saturating_add(job.terms.objective_ms);
+    let objective_ms = job.terms.latency_objective_ms(&job.spec);
     let after = |ms: u64| due.after(Duration::from_millis(ms));
     let end = now.after(Duration::from_millis(chain_ms));
     let outlook = if end <= after(objective_ms) {
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -59,6 +59,8 @@
     pub run: RunRef,
     /// Why it is stopped.
     pub reason: StopReason,
+    /// The step that needs its resources, if it is preempted.
+    pub preempted_for: Option<StepId>,
 }
 
 /// The result of one decision round.
@@ -284,9 +286,19 @@
     }
 
     fn stop(&mut self, run: RunRef, reason: StopReason, round: &mut Round<'_>) {
+        self.stop_for(run, reason, None, round);
+    }
+
+    fn stop_for(
+        &mut self,
+        run: RunRef,
+        reason: StopReason,
+        preempted_for: Option<StepId>,
+        round: &mut Round<'_>,
+    ) {
         if !self.stopping.contains_key(&run) {
             self.stopping.insert(run.clone(), round.now);
-            round.decisions.stops.push(RunStop { run, reason });
+            round.decisions.stops.push(RunStop { run, reason, preempted_for });
         }
     }
 
@@ -320,7 +332,7 @@
             return false;
         };
         for run in plan.stops {
-            self.stop(run, StopReason::Preempted, round);
+            self.stop_for(run, StopReason::Preempted, Some(step.id.clone()), round);
         }
         let until = round.now.after(self.bounds.hold_timeout());
         self.holds.add(until, step, plan.placements, &mut round.capacity);
