--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -1,8 +1,11 @@
 //! A step-by-step simulation of the leader, the upstreams and the network between them.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use hg_control::{Core, CoreConfig, Event, Order, OrderReport, OrderResult, Ticket};
 use hg_ledger::Ledger;
@@ -96,6 +99,12 @@
     peer_messages: Vec<Message>,
     /// The other replica sends nothing before then.
     peer_silent_until: u64,
+    /// How long runs take, in milliseconds.
+    run_ms: Range<u64>,
+    /// How long the core took for each step.
+    steps: Vec<Duration>,
+    /// A digest of all orders so far.
+    orders_digest: DefaultHasher,
 }
 
 impl std::fmt::Debug for World {
@@ -111,6 +120,11 @@
 
     /// The same in a deployment with other time bounds.
     pub fn with_bounds(seed: u64, faults: Faults, bounds: WorkflowBounds) -> Self {
+        Self::with_fleet(seed, faults, bounds, UPSTREAMS)
+    }
+
+    /// The same with another number of upstreams.
+    pub fn with_fleet(seed: u64, faults: Faults, bounds: WorkflowBounds, upstreams: u32) -> Self {
         let disk = MemoryDisk::default();
         let now = 1_000_000;
         let storage = Storage::create(disk.clone(), replica(), founding()).expect("memory");
@@ -132,8 +146,11 @@
             specs: BTreeMap::new(),
             peer_messages: Vec::new(),
             peer_silent_until: 0,
+            run_ms: 200..3_000,
+            steps: Vec::new(),
+            orders_digest: DefaultHasher::new(),
         };
-        for number in 0..UPSTREAMS {
+        for number in 0..upstreams {
             world.start_upstream(&name(number));
         }
         world.run(4_000);
@@ -173,6 +190,21 @@
         u64::try_from(self.bounds.lease_max.as_millis()).expect("a bound")
     }
 
+    /// Sets how long runs take that start from now on, in milliseconds.
+    pub fn set_run_ms(&mut self, run_ms: Range<u64>) {
+        self.run_ms = run_ms;
+    }
+
+    /// A digest of all orders so far, to compare two versions of the leader.
+    pub fn orders_digest(&self) -> u64 {
+        self.orders_digest.finish()
+    }
+
+    /// Returns how long the core took for each step since the last call.
+    pub fn take_steps(&mut self) -> Vec<Duration> {
+        std::mem::take(&mut self.steps)
+    }
+
     /// Injects no more faults from now on, except runs that fail.
     pub fn stop_faults(&mut self) {
         self.faults = Faults { failing_runs: self.faults.failing_runs, ..Faults::default() };
@@ -258,7 +290,12 @@
     }
 
     fn call(&mut self, id: &JobId, action: CallerAction) {
-        let prefix = if id.as_str().ends_with(['0', '3', '6']) { "/urgent/" } else { "/patient/" };
+        let is_urgent = match self.specs.get(id).map(|spec| spec.content.as_ref()) {
+            Some("urgent") => true,
+            Some("patient") => false,
+            _ => id.as_str().ends_with(['0', '3', '6']),
+        };
+        let prefix = if is_urgent { "/urgent/" } else { "/patient/" };
         let path = Arc::from(format!("{prefix}{id}"));
         let call = CallerRequest { host: Arc::from("host"), path, key: None, action };
         self.request(Some(id.clone()), WorkflowRequest::Call(call));
@@ -274,7 +311,9 @@
     }
 
     fn step(&mut self, events: Vec<Event>) {
+        let started = Instant::now();
         let actions = self.core.handle(Time(self.now), events).expect("memory");
+        self.steps.push(started.elapsed());
         for (ticket, reply) in actions.replies {
             let Some(id) = self.pending_tickets.remove(&ticket) else { continue };
             let Reply::Workflow(reply) = reply else { continue };
@@ -315,6 +354,8 @@
     }
 
     fn send(&mut self, order: Order) {
+        (self.now, order.upstream.as_str(), format!("{:?}", order.kind))
+            .hash(&mut self.orders_digest);
         let limit = u64::try_from(order.limit.as_millis()).expect("a short limit");
         let (id, upstream) = (order.id, order.upstream.clone());
         let incarnation =
@@ -346,7 +387,7 @@
         let (id, upstream) = (order.id, order.upstream.clone());
         let kind =
             if self.chance(self.faults.failing_runs) { EndKind::Failed } else { EndKind::Done };
-        let work = (self.rng.random_range(200..3_000), kind);
+        let work = (self.rng.random_range(self.run_ms.clone()), kind);
         let now = self.now;
         let stand_in = self
             .upstreams
@@ -381,7 +422,7 @@
             if members.len() < spec.tasks as usize {
                 continue;
             }
-            let ends_at = self.now + self.rng.random_range(200..3_000);
+            let ends_at = self.now + self.rng.random_range(self.run_ms.clone());
             let kind =
                 if self.chance(self.faults.failing_runs) { EndKind::Failed } else { EndKind::Done };
             for upstream in self.upstreams.values_mut() {
