hg_policy: a round looks each open run up once

Cause: in a round on a full pool each urgent step listed all open runs again with several look-ups each, copied the capacity of the whole fleet for every rack that it tried, and weighed every upstream anew for each task; each gang walked all runs to plan a reservation, and each step sorted the fleet by rack.

Now a round has one table of open runs, capacity ordered by rack, and ends of runs kept between the gangs.

--- a/crates/hg_policy/src/workflow/capacity_map.rs
+++ b/crates/hg_policy/src/workflow/capacity_map.rs
@@ -1,6 +1,7 @@
 //! Free capacity by upstream, as one decision round sees it.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use hg_ledger::WorkflowLedger;
 use hg_model::{PoolName, RackName, ResourceVector, StepSpec, UpstreamName, UpstreamReport};
@@ -24,6 +25,8 @@
     pub(crate) urgent_only: bool,
     /// Set while capacity is left to drain here for a gang.
     pub(crate) reservation: Option<Reservation>,
+    /// Whether it gets no new work in this round after all.
+    is_excluded: bool,
 }
 
 impl Candidate<'_> {
@@ -40,12 +43,20 @@
     }
 }
 
+/// The position of a candidate in its [`CapacityMap`].
+pub(crate) type Position = usize;
+
 /// The upstreams that may get new work, with their free capacity.
+///
+/// They are ordered by rack and name, so that a rack is a range of positions.
 #[derive(Debug, Clone)]
 pub(crate) struct CapacityMap<'a> {
-    pub(crate) candidates: BTreeMap<&'a UpstreamName, Candidate<'a>>,
+    candidates: Vec<Candidate<'a>>,
+    positions: BTreeMap<&'a UpstreamName, Position>,
+    racks: Vec<(&'a RackName, Range<Position>)>,
 }
 
+/// Queries.
 impl<'a> CapacityMap<'a> {
     pub(crate) fn new(ledger: &'a WorkflowLedger, fleet: &FleetObservations) -> Self {
         let usable = |report: &&UpstreamReport| fleet.is_usable(report);
@@ -53,61 +64,128 @@
             let free = report.capacity.minus(&ledger.occupancy().used(&report.name));
             let held = ResourceVector::default();
             let (slower, urgent_only, reservation) = (false, false, None);
-            (&report.name, Candidate { report, free, held, slower, urgent_only, reservation })
+            let is_excluded = false;
+            Candidate { report, free, held, slower, urgent_only, reservation, is_excluded }
+        };
+        let mut candidates: Vec<Candidate<'a>> =
+            ledger.upstreams().values().filter(usable).map(candidate).collect();
+        // Stable, so that the names within a rack stay in order.
+        candidates.sort_by_key(|candidate| &candidate.report.rack);
+        let names = candidates.iter().enumerate();
+        let positions = names.map(|(position, c)| (&c.report.name, position)).collect();
+        let racks = rack_ranges(&candidates);
+        Self { candidates, positions, racks }
+    }
+
+    /// The candidate at a position that this map has named.
+    pub(crate) fn at(&self, position: Position) -> &Candidate<'a> {
+        &self.candidates[position]
+    }
+
+    /// The upstream with this name, if it may get new work.
+    pub(crate) fn get(&self, name: &UpstreamName) -> Option<&Candidate<'a>> {
+        let candidate = self.candidates.get(*self.positions.get(name)?)?;
+        (!candidate.is_excluded).then_some(candidate)
+    }
+
+    /// All upstreams that may get new work, by rack and name.
+    pub(crate) fn candidates(&self) -> impl Iterator<Item = &Candidate<'a>> {
+        self.candidates.iter().filter(|candidate| !candidate.is_excluded)
+    }
+
+    /// The upstreams that can run a step, by rack and name.
+    pub(crate) fn able(&self, pool: &PoolName, step: &StepSpec) -> Vec<Position> {
+        self.able_within(0..self.candidates.len(), pool, step)
+    }
+
+    /// The same of one rack.
+    pub(crate) fn able_in_rack(
+        &self,
+        rack: &RackName,
+        pool: &PoolName,
+        step: &StepSpec,
+    ) -> Vec<Position> {
+        let at = self.racks.binary_search_by(|(name, _)| (*name).cmp(rack));
+        at.map_or_else(|_| Vec::new(), |at| self.able_within(self.racks[at].1.clone(), pool, step))
+    }
+
+    /// The same by rack; racks without such upstreams are left out.
+    pub(crate) fn able_by_rack(&self, pool: &PoolName, step: &StepSpec) -> Vec<Vec<Position>> {
+        let racks = self.racks.iter().map(|(_, range)| self.able_within(range.clone(), pool, step));
+        racks.filter(|able| !able.is_empty()).collect()
+    }
+
+    fn able_within(
+        &self,
+        range: Range<Position>,
+        pool: &PoolName,
+        step: &StepSpec,
+    ) -> Vec<Position> {
+        let is_able = |position: &Position| {
+            let candidate = &self.candidates[*position];
+            !candidate.is_excluded && candidate.can_run(pool, step)
         };
-        Self { candidates: ledger.upstreams().values().filter(usable).map(candidate).collect() }
+        range.filter(is_able).collect()
+    }
+}
+
+/// Commands.
+impl<'a> CapacityMap<'a> {
+    /// The upstream with this name, if it may get new work.
+    pub(crate) fn get_mut(&mut self, name: &UpstreamName) -> Option<&mut Candidate<'a>> {
+        let position = *self.positions.get(name)?;
+        self.candidates.get_mut(position).filter(|candidate| !candidate.is_excluded)
+    }
+
+    /// The candidate at a position that this map has named.
+    pub(crate) fn at_mut(&mut self, position: Position) -> &mut Candidate<'a> {
+        &mut self.candidates[position]
     }
 
     /// Removes upstreams from this round.
     pub(crate) fn exclude<'b>(&mut self, names: impl Iterator<Item = &'b UpstreamName>) {
         for name in names {
-            self.candidates.remove(name);
+            if let Some(candidate) = self.get_mut(name) {
+                candidate.is_excluded = true;
+            }
         }
     }
 
     pub(crate) fn mark_slower<'b>(&mut self, names: impl Iterator<Item = &'b UpstreamName>) {
         for name in names {
-            if let Some(candidate) = self.candidates.get_mut(name) {
+            if let Some(candidate) = self.get_mut(name) {
                 candidate.slower = true;
             }
         }
     }
 
     pub(crate) fn allocate(&mut self, upstream: &UpstreamName, claim: &ResourceVector) {
-        if let Some(candidate) = self.candidates.get_mut(upstream) {
+        if let Some(candidate) = self.get_mut(upstream) {
             candidate.free = candidate.free.minus(claim);
         }
     }
 
-    pub(crate) fn release(&mut self, upstream: &UpstreamName, claim: &ResourceVector) {
-        if let Some(candidate) = self.candidates.get_mut(upstream) {
-            candidate.free = candidate.free.plus(claim);
-        }
-    }
-
     pub(crate) fn hold(&mut self, upstream: &UpstreamName, claim: &ResourceVector) {
-        if let Some(candidate) = self.candidates.get_mut(upstream) {
+        if let Some(candidate) = self.get_mut(upstream) {
             candidate.held = candidate.held.plus(claim);
         }
     }
 
     pub(crate) fn unhold(&mut self, upstream: &UpstreamName, claim: &ResourceVector) {
-        if let Some(candidate) = self.candidates.get_mut(upstream) {
+        if let Some(candidate) = self.get_mut(upstream) {
             candidate.held = candidate.held.minus(claim);
         }
     }
+}
 
-    /// The upstreams that can run a step, by rack.
-    pub(crate) fn racks(
-        &self,
-        pool: &PoolName,
-        step: &StepSpec,
-    ) -> BTreeMap<&'a RackName, Vec<&Candidate<'a>>> {
-        let mut racks: BTreeMap<&RackName, Vec<&Candidate<'a>>> = BTreeMap::new();
-        for candidate in self.candidates.values().filter(|candidate| candidate.can_run(pool, step))
-        {
-            racks.entry(&candidate.report.rack).or_default().push(candidate);
+/// The range of positions of each rack, ordered by its name.
+fn rack_ranges<'a>(candidates: &[Candidate<'a>]) -> Vec<(&'a RackName, Range<Position>)> {
+    let mut racks: Vec<(&RackName, Range<Position>)> = Vec::new();
+    for (position, candidate) in candidates.iter().enumerate() {
+        match racks.last_mut() {
+            Some((name, range)) if *name == &candidate.report.rack => range.end = position + 1,
+            _ => racks.push((&candidate.report.rack, position..position + 1)),
         }
-        racks
     }
+    racks
 }
--- a/crates/hg_policy/src/workflow/headroom.rs
+++ b/crates/hg_policy/src/workflow/headroom.rs
@@ -9,10 +9,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use hg_ledger::WorkflowLedger;
 use hg_model::{PoolName, Time, UpstreamName};
 
 use super::capacity_map::CapacityMap;
+use super::run_table::RunTable;
 
 /// Older peaks do not count: waves of callers follow within seconds of each other.
 const PEAK_RETENTION: Duration = Duration::from_secs(10);
@@ -33,10 +33,10 @@
     pub(crate) fn reserve(
         &mut self,
         now: Time,
-        ledger: &WorkflowLedger,
+        runs: &RunTable<'_>,
         capacity: &mut CapacityMap<'_>,
     ) {
-        let used = urgent_usage(ledger);
+        let used = urgent_usage(runs);
         self.record_usage(now, &used);
         for (pool, peak) in self.peaks() {
             let wanted = peak.saturating_sub(used.get(&pool).copied().unwrap_or(0));
@@ -68,17 +68,13 @@
     }
 }
 
-fn urgent_usage(ledger: &WorkflowLedger) -> BTreeMap<PoolName, u64> {
-    let mut used = BTreeMap::new();
-    for (name, report) in ledger.upstreams() {
-        for (task, open) in ledger.occupancy().runs(name) {
-            let is_urgent = ledger.job(&task.step.job).is_some_and(|job| job.terms.priority == 0);
-            if is_urgent {
-                *used.entry(report.pool.clone()).or_default() += open.claim.weight();
-            }
-        }
+fn urgent_usage(runs: &RunTable<'_>) -> BTreeMap<PoolName, u64> {
+    let mut used: BTreeMap<&PoolName, u64> = BTreeMap::new();
+    for row in runs.rows() {
+        let Some((job, _)) = row.work.filter(|(job, _)| job.terms.priority == 0) else { continue };
+        *used.entry(&job.terms.pool).or_default() += row.open.claim.weight();
     }
-    used
+    used.into_iter().map(|(pool, weight)| (pool.clone(), weight)).collect()
 }
 
 /// Marks the upstreams of a pool with the most available capacity until `wanted` is reached or the
@@ -86,11 +82,10 @@
 fn mark_urgent_only(pool: &PoolName, wanted: u64, capacity: &mut CapacityMap<'_>) {
     let mut total = 0;
     let mut candidates: Vec<(Reverse<u64>, UpstreamName)> = Vec::new();
-    for (name, candidate) in
-        capacity.candidates.iter().filter(|(_, candidate)| candidate.report.pool == *pool)
-    {
+    for candidate in capacity.candidates().filter(|candidate| candidate.report.pool == *pool) {
         total += candidate.report.capacity.weight();
-        candidates.push((Reverse(candidate.available().weight()), (*name).clone()));
+        let name = candidate.report.name.clone();
+        candidates.push((Reverse(candidate.available().weight()), name));
     }
     candidates.sort();
     let limit = total * SHARE_MAX_PERCENT / 100;
@@ -100,7 +95,7 @@
             return;
         }
         kept += available;
-        if let Some(candidate) = capacity.candidates.get_mut(&name) {
+        if let Some(candidate) = capacity.get_mut(&name) {
             candidate.urgent_only = true;
         }
     }
--- a/crates/hg_policy/src/workflow/holds.rs
+++ b/crates/hg_policy/src/workflow/holds.rs
@@ -68,8 +68,7 @@
     ) {
         let waiting: BTreeSet<&StepId> = ready.iter().map(|step| &step.id).collect();
         self.steps.retain(|step, hold| {
-            let usable =
-                hold.placements.values().all(|name| capacity.candidates.contains_key(name));
+            let usable = hold.placements.values().all(|name| capacity.get(name).is_some());
             now < hold.until && usable && waiting.contains(step)
         });
     }
@@ -103,11 +102,12 @@
             capacity.unhold(upstream, &hold.claim);
         }
         let mut fitting = BTreeMap::new();
-        let mut trial = capacity.clone();
+        let mut taken: BTreeMap<&UpstreamName, ResourceVector> = BTreeMap::new();
         for (task, upstream) in &hold.placements {
-            let free = trial.candidates.get(upstream).map(Candidate::available).unwrap_or_default();
-            if step.waiting.contains(task) && hold.claim.fits(&free) {
-                trial.allocate(upstream, &hold.claim);
+            let taken = taken.entry(upstream).or_default();
+            let available = capacity.get(upstream).map(Candidate::available).unwrap_or_default();
+            if step.waiting.contains(task) && hold.claim.fits(&available.minus(taken)) {
+                *taken = taken.plus(&hold.claim);
                 fitting.insert(*task, upstream.clone());
             }
         }
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -40,6 +40,7 @@
 mod preemption;
 mod ready_steps;
 mod reservation;
+mod run_table;
 mod scheduler;
 mod speed_tracker;
 mod standby;
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -7,9 +7,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hg_model::{Time, UpstreamName};
+use hg_model::{ResourceVector, Time, UpstreamName};
 
-use super::capacity_map::{Candidate, CapacityMap};
+use super::capacity_map::{Candidate, CapacityMap, Position};
 use super::ready_steps::ReadyStep;
 use super::reservation::Reservation;
 
@@ -19,8 +19,9 @@
 
 /// A set of upstreams that is tried for a step.
 #[derive(Debug)]
-pub(crate) struct Scope<'a> {
-    pub(crate) names: Vec<&'a UpstreamName>,
+pub(crate) struct Scope {
+    /// Their positions in the capacity map, in ascending order.
+    pub(crate) members: Vec<Position>,
     /// Whether the step runs at full speed within this scope.
     pub(crate) is_local: bool,
 }
@@ -42,7 +43,7 @@
     for is_local in [true, false] {
         for with_slower in passes.iter().copied() {
             for scope in scopes.iter().filter(|scope| scope.is_local == is_local) {
-                let placed = best_fit(now, step, &scope.names, capacity, with_slower);
+                let placed = best_fit(now, step, &scope.members, capacity, with_slower);
                 if placed.len() == step.waiting.len() {
                     return placed;
                 }
@@ -56,62 +57,123 @@
 }
 
 /// The scopes to try for a step, best first.
-pub(crate) fn scopes<'a>(
-    now: Time,
-    step: &ReadyStep<'_>,
-    capacity: &CapacityMap<'a>,
-) -> Vec<Scope<'a>> {
-    let mut racks = capacity.racks(&step.job.terms.pool, step.spec);
-    if let Some(allowed) = &step.allowed {
-        for candidates in racks.values_mut() {
-            candidates.retain(|candidate| allowed.contains(&candidate.report.name));
-        }
-    }
-    let names = |candidates: &Vec<&Candidate<'a>>| {
-        candidates.iter().map(|candidate| &candidate.report.name).collect::<Vec<_>>()
-    };
-    let local =
-        |candidates: &Vec<&Candidate<'a>>| Scope { names: names(candidates), is_local: true };
+pub(crate) fn scopes(now: Time, step: &ReadyStep<'_>, capacity: &CapacityMap<'_>) -> Vec<Scope> {
+    let (pool, spec) = (&step.job.terms.pool, step.spec);
     let mut scopes = Vec::new();
-    if let Some(rack) = &step.spec.data_rack {
-        scopes.extend(racks.get(rack).map(local));
-    } else if step.spec.rack_local {
-        let mut by_capacity: Vec<_> = racks.values().collect();
-        by_capacity.sort_by_key(|candidates| {
-            candidates
-                .iter()
-                .map(|candidate| u64::from(candidate.available().accelerators))
-                .sum::<u64>()
+    if let Some(rack) = &spec.data_rack {
+        let members = allowed(step, capacity, capacity.able_in_rack(rack, pool, spec));
+        scopes.push(Scope { members, is_local: true });
+    } else if spec.rack_local {
+        let racks = capacity.able_by_rack(pool, spec).into_iter();
+        let mut racks: Vec<_> = racks.map(|members| allowed(step, capacity, members)).collect();
+        racks.sort_by_key(|members| {
+            let available = members.iter().map(|position| capacity.at(*position).available());
+            available.map(|available| u64::from(available.accelerators)).sum::<u64>()
         });
-        scopes.extend(by_capacity.into_iter().map(local));
+        scopes.extend(racks.into_iter().map(|members| Scope { members, is_local: true }));
     }
-    let wants_rack = step.spec.data_rack.is_some() || step.spec.rack_local;
-    let could_fit_local = scopes.iter().any(|scope| could_hold(step, &scope.names, capacity));
+    let wants_rack = spec.data_rack.is_some() || spec.rack_local;
+    let could_fit_local = scopes.iter().any(|scope| could_hold(step, &scope.members, capacity));
     if !wants_rack || !could_fit_local || is_locality_wait_over(now, step) {
-        let all = racks.values().flat_map(names).collect();
-        scopes.push(Scope { names: all, is_local: !wants_rack });
+        let members = allowed(step, capacity, capacity.able(pool, spec));
+        scopes.push(Scope { members, is_local: !wants_rack });
     }
     scopes
 }
 
+/// Those of some upstreams on which a step is allowed.
+fn allowed(
+    step: &ReadyStep<'_>,
+    capacity: &CapacityMap<'_>,
+    mut members: Vec<Position>,
+) -> Vec<Position> {
+    if let Some(allowed) = &step.allowed {
+        members.retain(|position| allowed.contains(&capacity.at(*position).report.name));
+    }
+    members
+}
+
 fn is_locality_wait_over(now: Time, step: &ReadyStep<'_>) -> bool {
     let wait = Duration::from_millis(step.spec.estimate_ms * LOCALITY_WAIT_PERCENT / 100);
     now >= step.due.after(wait)
 }
 
 /// Whether a scope could hold all tasks of the step if nothing else ran there.
-fn could_hold(step: &ReadyStep<'_>, scope: &[&UpstreamName], capacity: &CapacityMap<'_>) -> bool {
+fn could_hold(step: &ReadyStep<'_>, scope: &[Position], capacity: &CapacityMap<'_>) -> bool {
     let claim = step.spec.claim();
     let per_upstream_max = step.spec.per_upstream_max.unwrap_or(u32::MAX);
-    let holds = |name: &&UpstreamName| {
-        let candidate = capacity.candidates.get(*name);
-        candidate.map_or(0, |candidate| {
-            u64::from(
-                candidate.report.capacity.count_of(&claim, step.spec.tasks.min(per_upstream_max)),
-            )
-        })
-    };
-    scope.iter().map(holds).sum::<u64>() >= u64::from(step.spec.tasks)
+    let count_max = step.spec.tasks.min(per_upstream_max);
+    let counts = scope.iter().map(|position| {
+        u64::from(capacity.at(*position).report.capacity.count_of(&claim, count_max))
+    });
+    counts.sum::<u64>() >= u64::from(step.spec.tasks)
+}
+
+/// An upstream while tasks of a step are assigned to it.
+struct Slot<'a, 'b> {
+    candidate: &'b Candidate<'a>,
+    available: ResourceVector,
+}
+
+impl Slot<'_, '_> {
+    /// Whether one more task of the step may start there.
+    fn can_take(&self, fill: &Fill<'_, '_>) -> bool {
+        fill.claim.fits(&self.available)
+            && may_use(fill.now, fill.step, self.candidate, &self.available)
+            && is_below_upstream_limit(fill.step, &fill.counts, &self.candidate.report.name)
+    }
+
+    /// Orders upstreams by what is left there; the fullest comes first.
+    const fn fill_order(&self) -> (u32, u32) {
+        (self.available.accelerators, self.available.millicores)
+    }
+}
+
+/// The assignment of a step's waiting tasks to upstreams.
+struct Fill<'a, 'b> {
+    now: Time,
+    step: &'b ReadyStep<'a>,
+    claim: ResourceVector,
+    /// The number of running tasks of the step, by upstream, those that were just placed included.
+    counts: BTreeMap<UpstreamName, u32>,
+    placed: BTreeMap<u32, UpstreamName>,
+}
+
+impl Fill<'_, '_> {
+    fn place(&mut self, task: u32, slot: &mut Slot<'_, '_>) {
+        let name = &slot.candidate.report.name;
+        slot.available = slot.available.minus(&self.claim);
+        *self.counts.entry(name.clone()).or_insert(0) += 1;
+        self.placed.insert(task, name.clone());
+    }
+
+    /// Fills one upstream after the other: the fullest one stays the fullest while it is filled.
+    fn fill_in_order(&mut self, mut slots: Vec<Slot<'_, '_>>) {
+        slots.sort_by_key(Slot::fill_order);
+        let mut tasks = self.step.waiting.iter().copied().peekable();
+        for slot in &mut slots {
+            while let Some(task) = tasks.peek().copied() {
+                if !slot.can_take(self) {
+                    break;
+                }
+                self.place(task, slot);
+                tasks.next();
+            }
+        }
+    }
+
+    /// Finds an upstream for each task by itself, since tasks that failed somewhere avoid that upstream.
+    fn fill_each(&mut self, mut slots: Vec<Slot<'_, '_>>) {
+        for task in &self.step.waiting {
+            let avoided = failed_at(self.step, *task);
+            let usable = slots.iter_mut().filter(|slot| slot.can_take(self));
+            let best = usable.min_by_key(|slot| {
+                (Some(&slot.candidate.report.name) == avoided, slot.fill_order())
+            });
+            let Some(slot) = best else { return };
+            self.place(*task, slot);
+        }
+    }
 }
 
 /// Places as many waiting tasks as possible within a scope, each on the upstream where it leaves
@@ -119,39 +181,34 @@
 pub(crate) fn best_fit(
     now: Time,
     step: &ReadyStep<'_>,
-    scope: &[&UpstreamName],
+    scope: &[Position],
     capacity: &CapacityMap<'_>,
     with_slower: bool,
 ) -> BTreeMap<u32, UpstreamName> {
     let claim = step.spec.claim();
-    let mut candidates: Vec<Candidate<'_>> =
-        scope.iter().filter_map(|name| capacity.candidates.get(*name)).cloned().collect();
-    let mut counts = running_counts(step);
-    let mut placed = BTreeMap::new();
-    for task in &step.waiting {
-        let fits = |candidate: &&mut Candidate<'_>| {
-            (with_slower || !candidate.slower)
-                && may_use(now, step, candidate)
-                && claim.fits(&candidate.available())
-                && is_below_upstream_limit(step, &counts, &candidate.report.name)
-        };
-        let avoided = failed_at(step, *task);
-        let best = candidates.iter_mut().filter(fits).min_by_key(|candidate| {
-            let left = candidate.available().minus(&claim);
-            (Some(&candidate.report.name) == avoided, left.accelerators, left.millicores)
-        });
-        let Some(candidate) = best else { break };
-        candidate.free = candidate.free.minus(&claim);
-        *counts.entry(candidate.report.name.clone()).or_insert(0) += 1;
-        placed.insert(*task, candidate.report.name.clone());
+    let placed = BTreeMap::new();
+    let mut fill = Fill { now, step, claim, counts: running_counts(step), placed };
+    let slots = scope.iter().map(|position| capacity.at(*position));
+    let slots = slots.filter(|candidate| with_slower || !candidate.slower);
+    let slots = slots.map(|candidate| Slot { candidate, available: candidate.available() });
+    let slots: Vec<Slot<'_, '_>> = slots.filter(|slot| slot.can_take(&fill)).collect();
+    if step.waiting.iter().any(|task| failed_at(step, *task).is_some()) {
+        fill.fill_each(slots);
+    } else {
+        fill.fill_in_order(slots);
     }
-    placed
+    fill.placed
 }
 
 /// Whether the capacity that an upstream keeps for other steps still allows a task of this step to
 /// start there.
-fn may_use(now: Time, step: &ReadyStep<'_>, candidate: &Candidate<'_>) -> bool {
-    let allows = |reservation: Reservation| reservation.allows(now, &candidate.available(), step);
+fn may_use(
+    now: Time,
+    step: &ReadyStep<'_>,
+    candidate: &Candidate<'_>,
+    available: &ResourceVector,
+) -> bool {
+    let allows = |reservation: Reservation| reservation.allows(now, available, step);
     step.is_urgent() || (!candidate.urgent_only && candidate.reservation.is_none_or(allows))
 }
 
--- a/crates/hg_policy/src/workflow/preemption.rs
+++ b/crates/hg_policy/src/workflow/preemption.rs
@@ -10,13 +10,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use hg_ledger::{RunRef, WorkflowLedger};
-use hg_model::{JobId, ResourceVector, StepId, TaskId, Time, UpstreamName};
+use hg_model::{JobId, ResourceVector, StepId, Time, UpstreamName};
 
 use super::WorkflowBounds;
-use super::capacity_map::CapacityMap;
+use super::capacity_map::{Candidate, CapacityMap, Position};
 use super::placement::{Scope, is_below_upstream_limit, running_counts, scopes};
 use super::ready_steps::ReadyStep;
+use super::run_table::{RunRow, RunTable};
 
 /// The cost of running outside the best rack, in run times of the step.
 const REMOTE_COST: u64 = 2;
@@ -24,7 +24,8 @@
 /// Runs that can only be stopped together, and the cost of stopping them.
 #[derive(Debug)]
 struct Victim {
-    runs: Vec<(RunRef, ResourceVector)>,
+    /// The rows of the runs in the run table.
+    rows: Vec<usize>,
     cost: u64,
 }
 
@@ -33,189 +34,261 @@
 pub(crate) struct PreemptionPlan {
     /// The upstream of each waiting task.
     pub(crate) placements: BTreeMap<u32, UpstreamName>,
-    /// The runs to stop.
-    pub(crate) stops: Vec<RunRef>,
+    /// The rows of the runs to stop in the run table.
+    pub(crate) stops: Vec<usize>,
 }
 
 /// What preemption depends on beside the step and the capacity.
 #[derive(Debug)]
-pub(crate) struct PreemptionContext<'a> {
+pub(crate) struct PreemptionContext<'a, 'b> {
     pub(crate) now: Time,
-    pub(crate) ledger: &'a WorkflowLedger,
-    /// Runs for which a stop was decided, with the time of that decision.
-    pub(crate) stopping: &'a BTreeMap<RunRef, Time>,
+    pub(crate) runs: &'b RunTable<'a>,
     /// The urgent workflows that a guarantee covers.
-    pub(crate) covered: &'a BTreeSet<JobId>,
-    pub(crate) bounds: &'a WorkflowBounds,
+    pub(crate) covered: &'b BTreeSet<JobId>,
+    pub(crate) bounds: &'b WorkflowBounds,
 }
 
 /// Finds the cheapest set of runs to stop so that all waiting tasks of an urgent step fit.
 pub(crate) fn plan_preemption(
-    cx: &PreemptionContext<'_>,
+    cx: &PreemptionContext<'_, '_>,
     step: &ReadyStep<'_>,
     capacity: &CapacityMap<'_>,
 ) -> Option<PreemptionPlan> {
-    let victims = cx.victims(step);
+    let victims = Victims::new(cx, step);
     let plans = scopes(cx.now, step, capacity)
         .into_iter()
-        .filter_map(|scope| plan_in_scope(step, &scope, capacity, &victims));
+        .filter_map(|scope| ScopePlan::new(step, &scope, capacity, cx.runs, &victims).complete());
     let (_, plan) = plans.min_by_key(|(cost, _)| *cost)?;
     Some(plan)
 }
 
-impl PreemptionContext<'_> {
-    /// All victims that a step could preempt, including runs that are stopping already.
-    fn victims(&self, step: &ReadyStep<'_>) -> Vec<Victim> {
-        let mut gangs: BTreeMap<StepId, Victim> = BTreeMap::new();
-        let mut victims = Vec::new();
-        for upstream in self.ledger.occupancy().upstreams() {
-            for (task, open) in self.ledger.occupancy().runs(upstream) {
-                let at = RunRef { upstream: upstream.clone(), task: task.clone(), run: open.run };
-                if let Some(since) = self.stopping.get(&at) {
-                    if self.now < since.after(self.bounds.stop_done()) {
-                        victims.push(Victim { runs: vec![(at, open.claim)], cost: 0 });
-                    }
-                    continue;
-                }
-                let Some(cost) = self.cost(task, open.since).filter(|_| self.may_stop(step, task))
-                else {
-                    continue;
-                };
-                let run = (at, open.claim);
-                if self.ledger.step_spec(&task.step).is_some_and(|spec| spec.gang) {
-                    let victim = gangs.entry(task.step.clone());
-                    let victim = victim.or_insert_with(|| Victim { runs: Vec::new(), cost: 0 });
-                    victim.runs.push(run);
-                    victim.cost += cost;
-                } else {
-                    victims.push(Victim { runs: vec![run], cost });
-                }
-            }
-        }
-        victims.extend(gangs.into_values());
-        victims
-    }
-
+impl PreemptionContext<'_, '_> {
     /// Whether a step may preempt a run: the run's job is active, and either has a lower priority, or
     /// is urgent but not covered while the step is covered by a guarantee and has waited for so long
     /// that it would otherwise start too late.
-    fn may_stop(&self, step: &ReadyStep<'_>, task: &TaskId) -> bool {
-        let Some(job) = self.ledger.job(&task.step.job).filter(|job| job.is_active()) else {
-            return false;
-        };
-        let is_uncovered = job.terms.priority == 0 && !self.covered.contains(&task.step.job);
+    fn may_stop(&self, step: &ReadyStep<'_>, row: &RunRow<'_>) -> bool {
+        let Some((job, _)) = row.work.filter(|(job, _)| job.is_active()) else { return false };
+        if job.terms.priority > step.job.terms.priority {
+            return true;
+        }
         let may_preempt_uncovered =
             step.is_covered() && self.now >= step.due.after(self.bounds.guarantee_preempts_after());
-        job.terms.priority > step.job.terms.priority || (may_preempt_uncovered && is_uncovered)
+        may_preempt_uncovered
+            && job.terms.priority == 0
+            && !self.covered.contains(&row.task.step.job)
     }
 
     /// The work that stopping a run throws away, in thousandths of a core times milliseconds; `None` if
     /// the run may not be stopped because it is long-running. Even if all progress is saved, the task has
     /// to be restored.
-    fn cost(&self, task: &TaskId, since: Time) -> Option<u64> {
-        let spec = self.ledger.step_spec(&task.step)?;
-        if spec.long_running {
-            return None;
-        }
-        let progress = if spec.checkpointable { Duration::ZERO } else { self.now.since(since) };
+    fn cost(&self, row: &RunRow<'_>) -> Option<u64> {
+        let (_, spec) = row.work.filter(|(_, spec)| !spec.long_running)?;
+        let elapsed = self.now.since(row.open.since);
+        let progress = if spec.checkpointable { Duration::ZERO } else { elapsed };
         let lost = progress.saturating_add(self.bounds.restore);
         let lost_ms = u64::try_from(lost.as_millis()).unwrap_or(u64::MAX);
         Some(lost_ms.saturating_mul(spec.per_task.weight()))
     }
 }
 
-/// Places all waiting tasks within a scope and chooses victims where the free capacity does not
-/// suffice. Returns the cost with the plan.
-fn plan_in_scope(
-    step: &ReadyStep<'_>,
-    scope: &Scope<'_>,
-    capacity: &CapacityMap<'_>,
-    victims: &[Victim],
-) -> Option<(u64, PreemptionPlan)> {
-    let claim = step.spec.claim();
-    let mut capacity = capacity.clone();
-    let mut counts = running_counts(step);
-    let mut chosen: BTreeSet<usize> = BTreeSet::new();
-    let mut placements = BTreeMap::new();
-    let mut total_cost = 0;
-    // A slower member costs all other members a share of their time; remote members cost far more.
-    let work = step.spec.estimate_ms.saturating_mul(step.spec.per_task.weight());
-    let slower_cost = if step.spec.gang { work } else { 0 };
-    if !scope.is_local {
-        total_cost += work.saturating_mul(u64::from(step.spec.tasks) * REMOTE_COST);
-    }
-    let by_upstream = victims_by_upstream(victims);
-    for task in &step.waiting {
-        let names = scope.names.iter().filter(|name| is_below_upstream_limit(step, &counts, name));
-        let options = names.filter_map(|name| {
-            let (cost, evict) =
-                cheapest_eviction(name, &claim, &capacity, victims, &by_upstream, &chosen)?;
-            let candidate = capacity.candidates.get(*name)?;
-            let cost = cost + if candidate.slower { slower_cost } else { 0 };
-            Some((cost, candidate.available().accelerators, *name, evict))
-        });
-        let (cost, _, name, evict) =
-            options.min_by_key(|(cost, left, name, _)| (*cost, *left, *name))?;
-        for victim in evict {
-            chosen.insert(victim);
-            for (run, freed) in &victims[victim].runs {
-                capacity.release(&run.upstream, freed);
+/// All victims that a step could preempt, including runs that are stopping already.
+struct Victims {
+    victims: Vec<Victim>,
+    /// The victim to which each row of the run table belongs.
+    of_row: Vec<Option<usize>>,
+}
+
+impl Victims {
+    fn new(cx: &PreemptionContext<'_, '_>, step: &ReadyStep<'_>) -> Self {
+        let mut victims = Vec::new();
+        let mut gangs: BTreeMap<&StepId, Victim> = BTreeMap::new();
+        for (number, row) in cx.runs.rows().iter().enumerate() {
+            if let Some(since) = row.stopping_since {
+                if cx.now < since.after(cx.bounds.stop_done()) {
+                    victims.push(Victim { rows: vec![number], cost: 0 });
+                }
+                continue;
+            }
+            let Some(cost) = cx.cost(row).filter(|_| cx.may_stop(step, row)) else { continue };
+            if row.is_gang() {
+                let victim = gangs.entry(&row.task.step);
+                let victim = victim.or_insert_with(|| Victim { rows: Vec::new(), cost: 0 });
+                victim.rows.push(number);
+                victim.cost += cost;
+            } else {
+                victims.push(Victim { rows: vec![number], cost });
+            }
+        }
+        victims.extend(gangs.into_values());
+        let mut of_row = vec![None; cx.runs.rows().len()];
+        for (number, victim) in victims.iter().enumerate() {
+            for row in &victim.rows {
+                of_row[*row] = Some(number);
             }
         }
-        total_cost += cost;
-        capacity.allocate(name, &claim);
-        *counts.entry(name.clone()).or_insert(0) += 1;
-        placements.insert(*task, name.clone());
+        Self { victims, of_row }
+    }
+
+    /// The victims with runs on an upstream, the cheapest first.
+    fn on(&self, upstream: &UpstreamName, runs: &RunTable<'_>) -> Vec<usize> {
+        let mut numbers: Vec<usize> =
+            runs.rows_of(upstream).filter_map(|row| self.of_row[row]).collect();
+        numbers.sort_unstable();
+        numbers.dedup();
+        numbers.sort_by_key(|number| self.victims[*number].cost);
+        numbers
     }
-    let stops = chosen.iter().flat_map(|victim| &victims[*victim].runs).map(|(run, _)| run.clone());
-    Some((total_cost, PreemptionPlan { placements, stops: stops.collect() }))
 }
 
-fn victims_by_upstream(victims: &[Victim]) -> BTreeMap<&UpstreamName, Vec<usize>> {
-    let mut map: BTreeMap<&UpstreamName, Vec<usize>> = BTreeMap::new();
-    for (number, victim) in victims.iter().enumerate() {
-        let upstreams: BTreeSet<&UpstreamName> =
-            victim.runs.iter().map(|(run, _)| &run.upstream).collect();
-        for upstream in upstreams {
-            map.entry(upstream).or_default().push(number);
+/// How one more task could be placed on an upstream.
+struct Eviction {
+    /// The victims to stop there, and what that costs.
+    victims: Vec<usize>,
+    cost: u64,
+    /// The accelerators that are available there before.
+    available: u32,
+}
+
+/// An upstream of a scope while a plan is made.
+struct Member<'a, 'b> {
+    candidate: &'b Candidate<'a>,
+    /// What is free, given the tasks placed and the victims chosen so far.
+    free: ResourceVector,
+    /// The victims with runs here, the cheapest first.
+    victims: Vec<usize>,
+    /// The cheapest way to place the next task here, if there is any.
+    option: Option<Eviction>,
+}
+
+/// Places all waiting tasks within a scope and chooses victims where the free capacity does not
+/// suffice.
+struct ScopePlan<'a, 'b> {
+    step: &'b ReadyStep<'b>,
+    runs: &'b RunTable<'a>,
+    victims: &'b Victims,
+    members: Vec<Member<'a, 'b>>,
+    /// The member for each position of the scope.
+    positions: BTreeMap<&'b UpstreamName, usize>,
+    claim: ResourceVector,
+    chosen: BTreeSet<usize>,
+    /// The cost that does not depend on the choice of upstreams.
+    base_cost: u64,
+    /// The cost of a member of a gang on a slower upstream: all other members wait for it.
+    slower_cost: u64,
+}
+
+impl<'a, 'b> ScopePlan<'a, 'b> {
+    fn new(
+        step: &'b ReadyStep<'b>,
+        scope: &Scope,
+        capacity: &'b CapacityMap<'a>,
+        runs: &'b RunTable<'a>,
+        victims: &'b Victims,
+    ) -> Self {
+        let member = |position: &Position| {
+            let candidate = capacity.at(*position);
+            let victims = victims.on(&candidate.report.name, runs);
+            Member { candidate, free: candidate.free, victims, option: None }
+        };
+        let members: Vec<Member<'a, 'b>> = scope.members.iter().map(member).collect();
+        let names = members.iter().enumerate();
+        let positions = names.map(|(number, m)| (&m.candidate.report.name, number)).collect();
+        // Remote members cost far more than slower ones.
+        let work = step.spec.estimate_ms.saturating_mul(step.spec.per_task.weight());
+        let remote_cost = work.saturating_mul(u64::from(step.spec.tasks) * REMOTE_COST);
+        Self {
+            step,
+            runs,
+            victims,
+            members,
+            positions,
+            claim: step.spec.claim(),
+            chosen: BTreeSet::new(),
+            base_cost: if scope.is_local { 0 } else { remote_cost },
+            slower_cost: if step.spec.gang { work } else { 0 },
         }
     }
-    for numbers in map.values_mut() {
-        numbers.sort_by_key(|number| victims[*number].cost);
+
+    /// Places all waiting tasks. Returns the cost with the plan; `None` if they do not fit.
+    fn complete(mut self) -> Option<(u64, PreemptionPlan)> {
+        let mut counts = running_counts(self.step);
+        let mut placements = BTreeMap::new();
+        let mut total_cost = self.base_cost;
+        for number in 0..self.members.len() {
+            self.update_option(number);
+        }
+        for task in &self.step.waiting {
+            let number = self.cheapest_member(&counts)?;
+            let option = self.members[number].option.take()?;
+            total_cost += option.cost;
+            let mut changed = BTreeSet::from([number]);
+            for victim in option.victims {
+                self.choose(victim, &mut changed);
+            }
+            let member = &mut self.members[number];
+            member.free = member.free.minus(&self.claim);
+            let name = &member.candidate.report.name;
+            *counts.entry(name.clone()).or_insert(0) += 1;
+            placements.insert(*task, name.clone());
+            for number in changed {
+                self.update_option(number);
+            }
+        }
+        let stops = self.chosen.iter().flat_map(|victim| &self.victims.victims[*victim].rows);
+        Some((total_cost, PreemptionPlan { placements, stops: stops.copied().collect() }))
     }
-    map
-}
 
-/// Chooses victims on one upstream in order of their cost until one more task fits there. Returns
-/// their total cost and their indices.
-fn cheapest_eviction(
-    name: &UpstreamName,
-    claim: &ResourceVector,
-    capacity: &CapacityMap<'_>,
-    victims: &[Victim],
-    by_upstream: &BTreeMap<&UpstreamName, Vec<usize>>,
-    chosen: &BTreeSet<usize>,
-) -> Option<(u64, Vec<usize>)> {
-    let candidate = capacity.candidates.get(name)?;
-    let mut free = candidate.free;
-    let mut evict = Vec::new();
-    let mut cost = 0;
-    if claim.fits(&free.minus(&candidate.held)) {
-        return Some((0, evict));
+    /// The member on which one more task costs least; among equal ones the fullest.
+    fn cheapest_member(&self, counts: &BTreeMap<UpstreamName, u32>) -> Option<usize> {
+        let members = self.members.iter().enumerate().filter_map(|(number, member)| {
+            let name = &member.candidate.report.name;
+            let option = member.option.as_ref()?;
+            is_below_upstream_limit(self.step, counts, name)
+                .then_some(((option.cost, option.available, name), number))
+        });
+        members.min_by_key(|(key, _)| *key).map(|(_, number)| number)
     }
-    for number in by_upstream.get(name).into_iter().flatten() {
-        if chosen.contains(number) {
-            continue;
+
+    /// Chooses a victim, which frees its resources on all its upstreams.
+    fn choose(&mut self, victim: usize, changed: &mut BTreeSet<usize>) {
+        self.chosen.insert(victim);
+        for row in &self.victims.victims[victim].rows {
+            let row = &self.runs.rows()[*row];
+            if let Some(number) = self.positions.get(row.upstream).copied() {
+                let member = &mut self.members[number];
+                member.free = member.free.plus(&row.open.claim);
+                changed.insert(number);
+            }
         }
-        let victim = &victims[*number];
-        for (_, freed) in victim.runs.iter().filter(|(run, _)| run.upstream == *name) {
-            free = free.plus(freed);
+    }
+
+    fn update_option(&mut self, number: usize) {
+        let option = self.cheapest_eviction(&self.members[number]);
+        self.members[number].option = option;
+    }
+
+    /// Chooses victims on one upstream in order of their cost until one more task fits there.
+    fn cheapest_eviction(&self, member: &Member<'_, '_>) -> Option<Eviction> {
+        let held = &member.candidate.held;
+        let available = member.free.minus(held).accelerators;
+        let mut cost = if member.candidate.slower { self.slower_cost } else { 0 };
+        let mut free = member.free;
+        let mut victims = Vec::new();
+        if self.claim.fits(&free.minus(held)) {
+            return Some(Eviction { victims, cost, available });
         }
-        cost += victim.cost;
-        evict.push(*number);
-        if claim.fits(&free.minus(&candidate.held)) {
-            return Some((cost, evict));
+        for number in member.victims.iter().filter(|number| !self.chosen.contains(number)) {
+            let victim = &self.victims.victims[*number];
+            let rows = victim.rows.iter().map(|row| &self.runs.rows()[*row]);
+            for row in rows.filter(|row| row.upstream == &member.candidate.report.name) {
+                free = free.plus(&row.open.claim);
+            }
+            cost += victim.cost;
+            victims.push(*number);
+            if self.claim.fits(&free.minus(held)) {
+                return Some(Eviction { victims, cost, available });
+            }
         }
+        None
     }
-    None
 }
--- a/crates/hg_policy/src/workflow/reservation.rs
+++ b/crates/hg_policy/src/workflow/reservation.rs
@@ -5,12 +5,13 @@
 //! Other tasks may start there only if they end before the gang can start, or leave enough capacity
 //! for it (EASY backfill, Lifka 1995).
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hg_ledger::WorkflowLedger;
 use hg_model::{PoolName, ResourceVector, Time, UpstreamName};
 
-use super::capacity_map::{Candidate, CapacityMap};
+use super::capacity_map::{Candidate, CapacityMap, Position};
 use super::placement::{Scope, scopes};
 use super::ready_steps::ReadyStep;
 use super::speed_tracker::SpeedTracker;
@@ -47,25 +48,58 @@
     }
 }
 
+/// When the runs of each upstream end, as far as a round has needed to know.
+#[derive(Debug)]
+pub(crate) struct DrainTimes<'a> {
+    now: Time,
+    ledger: &'a WorkflowLedger,
+    upstreams: BTreeMap<Position, Vec<(Time, ResourceVector)>>,
+}
+
+impl<'a> DrainTimes<'a> {
+    pub(crate) const fn new(now: Time, ledger: &'a WorkflowLedger) -> Self {
+        Self { now, ledger, upstreams: BTreeMap::new() }
+    }
+
+    /// The ends of the present runs of an upstream, the earliest first, and what each frees.
+    fn ends(
+        &mut self,
+        position: Position,
+        upstream: &UpstreamName,
+        speeds: &SpeedTracker,
+    ) -> &[(Time, ResourceVector)] {
+        let (now, ledger) = (self.now, self.ledger);
+        self.upstreams.entry(position).or_insert_with(|| {
+            let runs = ledger.occupancy().runs(upstream).filter_map(|(task, open)| {
+                let spec = ledger.step_spec(&task.step)?;
+                let left = speeds.time_left(now, task, open, spec.estimate_ms);
+                (!spec.long_running).then(|| (now.after(left), open.claim))
+            });
+            let mut ends: Vec<(Time, ResourceVector)> = runs.collect();
+            ends.sort_by_key(|(at, _)| *at);
+            ends
+        })
+    }
+}
+
 /// Reserves the upstreams that can hold a gang soonest. Returns whether there are enough of them.
 pub(crate) fn reserve(
-    now: Time,
     step: &ReadyStep<'_>,
-    ledger: &WorkflowLedger,
+    drains: &mut DrainTimes<'_>,
     speeds: &SpeedTracker,
     capacity: &mut CapacityMap<'_>,
 ) -> bool {
     if !is_busy(&step.job.terms.pool, capacity) {
         return false;
     }
-    let plans = scopes(now, step, capacity).into_iter();
-    let plans = plans.filter_map(|scope| earliest_fit(now, step, &scope, ledger, speeds, capacity));
-    let Some((starts_at, upstreams)) = plans.min_by_key(|(starts_at, _)| *starts_at) else {
+    let scopes = scopes(drains.now, step, capacity).into_iter();
+    let plans = scopes.filter_map(|scope| earliest_fit(step, &scope, drains, speeds, capacity));
+    let Some((starts_at, members)) = plans.min_by_key(|(starts_at, _)| *starts_at) else {
         return false;
     };
     let claim = step.spec.claim();
-    for upstream in upstreams {
-        let Some(candidate) = capacity.candidates.get_mut(&upstream) else { continue };
+    for position in members {
+        let candidate = capacity.at_mut(position);
         let earlier =
             candidate.reservation.map_or_else(ResourceVector::default, |earlier| earlier.claim);
         candidate.reservation = Some(Reservation { claim: earlier.plus(&claim), starts_at });
@@ -75,8 +109,7 @@
 
 /// Whether enough of a pool is in use that small tasks may keep gangs out.
 fn is_busy(pool: &PoolName, capacity: &CapacityMap<'_>) -> bool {
-    let candidates =
-        capacity.candidates.values().filter(|candidate| candidate.report.pool == *pool);
+    let candidates = capacity.candidates().filter(|candidate| candidate.report.pool == *pool);
     let (free, all) = candidates.fold((0, 0), |(free, all), candidate| {
         (free + candidate.free.weight(), all + candidate.report.capacity.weight())
     });
@@ -86,26 +119,29 @@
 /// When a gang could start within a scope, and the upstreams that can hold its members soonest, one
 /// entry for each member.
 fn earliest_fit(
-    now: Time,
     step: &ReadyStep<'_>,
-    scope: &Scope<'_>,
-    ledger: &WorkflowLedger,
+    scope: &Scope,
+    drains: &mut DrainTimes<'_>,
     speeds: &SpeedTracker,
     capacity: &CapacityMap<'_>,
-) -> Option<(Time, Vec<UpstreamName>)> {
-    let mut slots: Vec<(Time, &UpstreamName)> = Vec::new();
-    for name in &scope.names {
-        let Some(candidate) = capacity.candidates.get(*name) else { continue };
-        let times = member_start_times(now, step, candidate, ledger, speeds);
-        slots.extend(times.into_iter().map(|at| (at, *name)));
+) -> Option<(Time, Vec<Position>)> {
+    let mut slots: Vec<(Time, &UpstreamName, Position)> = Vec::new();
+    let now = drains.now;
+    for position in &scope.members {
+        let candidate = capacity.at(*position);
+        let name = &candidate.report.name;
+        let ends = drains.ends(*position, name, speeds);
+        let times = member_start_times(now, step, candidate, ends);
+        slots.extend(times.into_iter().map(|at| (at, name, *position)));
     }
-    slots.sort();
-    slots.truncate(step.waiting.len());
-    if slots.len() < step.waiting.len() {
+    let last = step.waiting.len().checked_sub(1)?;
+    if slots.len() <= last {
         return None;
     }
-    let starts_at = slots.last().map_or(now, |(at, _)| *at);
-    Some((starts_at, slots.into_iter().map(|(_, name)| name.clone()).collect()))
+    // Only the earliest slots are needed, and only their last time matters.
+    let (earliest, last, _) = slots.select_nth_unstable(last);
+    let starts_at = last.0;
+    Some((starts_at, earliest.iter().chain([&*last]).map(|(.., position)| *position).collect()))
 }
 
 /// The times at which an upstream can hold the first, second, ... member, as its present runs end.
@@ -113,25 +149,15 @@
     now: Time,
     step: &ReadyStep<'_>,
     candidate: &Candidate<'_>,
-    ledger: &WorkflowLedger,
-    speeds: &SpeedTracker,
+    ends: &[(Time, ResourceVector)],
 ) -> Vec<Time> {
     let claim = step.spec.claim();
     let taken = candidate.reservation.map_or_else(ResourceVector::default, |earlier| earlier.claim);
     let members_max = step.spec.per_upstream_max.unwrap_or(u32::MAX).min(step.spec.tasks);
-    let mut ends: Vec<(Time, ResourceVector)> = ledger
-        .occupancy()
-        .runs(&candidate.report.name)
-        .filter_map(|(task, open)| {
-            let spec = ledger.step_spec(&task.step)?;
-            let left = speeds.time_left(now, task, open, spec.estimate_ms);
-            (!spec.long_running).then(|| (now.after(left), open.claim))
-        })
-        .collect();
-    ends.sort_by_key(|(at, _)| *at);
     let mut free = candidate.available();
     let mut times = Vec::new();
-    for (at, freed) in std::iter::once((now, ResourceVector::default())).chain(ends) {
+    for (at, freed) in std::iter::once((now, ResourceVector::default())).chain(ends.iter().copied())
+    {
         free = free.plus(&freed);
         let fits = free.minus(&taken).count_of(&claim, members_max);
         while times.len() < usize::try_from(fits).unwrap_or(usize::MAX) {
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use hg_ledger::{RunRef, RunStart, TaskState, WorkflowLedger};
+use hg_ledger::{RunRef, RunStart, WorkflowLedger};
 use hg_model::{EndKind, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
 
 use super::capacity_map::CapacityMap;
@@ -17,7 +17,8 @@
 use super::placement::place;
 use super::preemption::{PreemptionContext, PreemptionPlan, plan_preemption};
 use super::ready_steps::{ReadyStep, ready_steps};
-use super::reservation::{RESERVATIONS_MAX, reserve};
+use super::reservation::{DrainTimes, RESERVATIONS_MAX, reserve};
+use super::run_table::RunTable;
 use super::speed_tracker::{ExpectedRun, SpeedTracker};
 use super::standby::StandbyHosts;
 use super::wave_scheduler::WaveScheduler;
@@ -101,6 +102,8 @@
     now: Time,
     ledger: &'a WorkflowLedger,
     covered: BTreeSet<JobId>,
+    runs: RunTable<'a>,
+    drains: DrainTimes<'a>,
     capacity: CapacityMap<'a>,
     decisions: WorkflowDecisions,
 }
@@ -217,12 +220,14 @@
         capacity.exclude(self.speeds.too_slow(now));
         capacity.mark_slower(self.speeds.slower(now));
         let decisions = WorkflowDecisions::default();
-        let mut round = Round { now, ledger, covered, capacity, decisions };
+        let (runs, drains) = (RunTable::new(ledger), DrainTimes::new(now, ledger));
+        let mut round = Round { now, ledger, covered, runs, drains, capacity, decisions };
         self.decide_stops(&mut round, fleet);
+        round.runs.record_stops(self.stopping.iter());
         let ready = self.ready(&round);
         self.holds.drop_expired(now, &ready, &round.capacity);
         self.holds.apply_to(&mut round.capacity);
-        self.headroom.reserve(now, ledger, &mut round.capacity);
+        self.headroom.reserve(now, &round.runs, &mut round.capacity);
         let mut unplaced = Vec::new();
         let mut reservation_count = 0;
         for step in &ready {
@@ -268,7 +273,7 @@
     /// their host.
     fn decide_stops(&mut self, round: &mut Round<'_>, fleet: &FleetObservations) {
         let (now, ledger) = (round.now, round.ledger);
-        for run in unneeded_runs(ledger) {
+        for run in round.runs.unneeded(ledger) {
             self.stop(run, StopReason::NoLongerNeeded, round);
         }
         for run in self.speeds.stragglers(now, ledger) {
@@ -331,8 +336,10 @@
             start(step, &placed, round);
             return false;
         };
-        for run in plan.stops {
+        for row in plan.stops {
+            let run = round.runs.rows()[row].run_ref();
             self.stop_for(run, StopReason::Preempted, Some(step.id.clone()), round);
+            round.runs.record_stop(round.now, row);
         }
         let until = round.now.after(self.bounds.hold_timeout());
         self.holds.add(until, step, plan.placements, &mut round.capacity);
@@ -349,21 +356,14 @@
     ) {
         let may_reserve = step.spec.gang && !step.is_urgent() && !step.is_overdue();
         if may_reserve && *reservation_count < RESERVATIONS_MAX {
-            let reserved =
-                reserve(round.now, step, round.ledger, &self.speeds, &mut round.capacity);
+            let reserved = reserve(step, &mut round.drains, &self.speeds, &mut round.capacity);
             *reservation_count += usize::from(reserved);
         }
     }
 
     fn plan_preemption(&self, step: &ReadyStep<'_>, round: &Round<'_>) -> Option<PreemptionPlan> {
-        let Round { now, ledger, covered, capacity, .. } = round;
-        let cx = PreemptionContext {
-            now: *now,
-            ledger,
-            stopping: &self.stopping,
-            covered,
-            bounds: &self.bounds,
-        };
+        let Round { now, runs, covered, capacity, .. } = round;
+        let cx = PreemptionContext { now: *now, runs, covered, bounds: &self.bounds };
         plan_preemption(&cx, step, capacity)
     }
 }
@@ -381,29 +381,3 @@
         });
     }
 }
-
-/// Open runs of jobs that are over, and of gangs that lost a member.
-fn unneeded_runs(ledger: &WorkflowLedger) -> Vec<RunRef> {
-    let mut unneeded = Vec::new();
-    for upstream in ledger.occupancy().upstreams() {
-        let of_upstream = ledger.occupancy().runs(upstream).filter(|(t, _)| is_unneeded(ledger, t));
-        unneeded.extend(of_upstream.map(|(task, open)| RunRef {
-            upstream: upstream.clone(),
-            task: task.clone(),
-            run: open.run,
-        }));
-    }
-    unneeded
-}
-
-/// Whether a run is no longer needed: its job is over, or its gang lost a member.
-fn is_unneeded(ledger: &WorkflowLedger, task: &TaskId) -> bool {
-    let Some(job) = ledger.job(&task.step.job) else { return true };
-    if !job.is_active() {
-        return true;
-    }
-    let gang = ledger.step_spec(&task.step).is_some_and(|spec| spec.gang);
-    let record = ledger.step_record(&task.step);
-    let is_running = |state: &TaskState| matches!(state, TaskState::Running { .. });
-    gang && record.is_some_and(|r| r.tasks.iter().any(|task| !is_running(&task.state)))
-}
--- a/crates/hg_policy/src/workflow/ticket_cache.rs
+++ b/crates/hg_policy/src/workflow/ticket_cache.rs
@@ -71,7 +71,7 @@
     ) -> BTreeSet<UpstreamName> {
         let tickets = self.steps.get(step).into_iter().flat_map(|step| &step.tickets);
         let is_valid = |name: &UpstreamName, ticket: &Ticket| {
-            let candidate = capacity.candidates.get(name);
+            let candidate = capacity.get(name);
             now.after(TICKET_MARGIN) < ticket.until
                 && candidate
                     .is_some_and(|candidate| candidate.report.incarnation == ticket.incarnation)
@@ -95,11 +95,11 @@
                 && !known.is_some_and(|known| known.tickets.contains_key(name));
             candidate.can_run(&step.job.terms.pool, step.spec) && !was_refused
         };
-        let mut candidates: Vec<&Candidate<'_>> =
-            capacity.candidates.values().filter(may_ask).collect();
+        let mut candidates: Vec<&Candidate<'_>> = capacity.candidates().filter(may_ask).collect();
         candidates.sort_by_key(|candidate| {
             let available = candidate.available();
-            (!step.spec.claim().fits(&available), std::cmp::Reverse(available.accelerators))
+            let is_full = !step.spec.claim().fits(&available);
+            (is_full, std::cmp::Reverse(available.accelerators), &candidate.report.name)
         });
         candidates.truncate((step.waiting.len() * 2).clamp(UPSTREAMS_MIN, UPSTREAMS_MAX));
         if candidates.is_empty() {
