hg_control: a leader that no load can overrun

On top of that connections to upstreams took up all files, so that starts failed and the log could not be replaced.

- Sessions are visited when something happened to them or is due, and at least every 100 ms.
- A round of decisions is followed by a pause of four times its duration; what happens meanwhile is decided on together.
- Inputs wait in lanes: messages of replicas first, then results of orders (never dropped), requests of upstreams and operators, calls of callers.
- Orders to one upstream share lanes whose number follows from the process's limit of files and the size of the fleet.
- An order that did not reach its upstream is told apart from one without an answer; a start that could not be sent three times is given up at once, so its gang does not wait for it until its members end alone.
- Replacing the log waits for a free file instead of ending the process.

--- a/crates/hg_control/src/core_loop.rs
+++ b/crates/hg_control/src/core_loop.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -12,16 +11,16 @@
 use slog::{Logger, crit};
 use tokio::sync::oneshot;
 
+use crate::input_queue::InputQueue;
 use crate::links::{Outbox, PeerFrame};
 use crate::workflow::set_gauges;
 use crate::{Actions, Clock, Core, Event, OrderReport, PlatformCallReport, Ticket};
 
 /// The longest time between two steps of the core.
 const TICK: Duration = Duration::from_millis(20);
-/// The maximum number of inputs queued for the core.
-const INPUT_QUEUE_MAX: usize = 16_384;
-/// The maximum number of queued inputs that one step adds to its first; their writes share one sync.
-const BATCH_MAX: usize = 1_024;
+/// The maximum number of queued inputs of each kind that one step takes, beside messages of replicas; their writes
+/// share one sync.
+const BATCH_MAX: usize = 256;
 /// How often gauges are set.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -45,24 +44,20 @@
 /// A handle that sends inputs to the core's thread.
 #[derive(Debug, Clone)]
 pub struct CoreHandle {
-    tx: SyncSender<Input>,
+    queue: Arc<InputQueue>,
 }
 
 impl CoreHandle {
     /// Queues an input. Returns `false` if the queue is full or the thread has ended.
     pub(crate) fn send(&self, input: Input) -> bool {
-        match self.tx.try_send(input) {
-            Ok(()) => true,
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
-        }
+        self.queue.push(Instant::now(), input)
     }
 
-    /// Sends a request to the core and waits for its reply; `Busy` if the input queue is full.
+    /// Sends a request to the core and waits for its reply; `Busy` if the core has too much to do.
     pub async fn request(&self, req: Request) -> Reply {
         let (tx, rx) = oneshot::channel();
-        if !self.send(Input::Request(req, tx)) {
-            return Reply::Busy;
-        }
+        // A request that is not queued is answered at once.
+        self.send(Input::Request(req, tx));
         rx.await.unwrap_or(Reply::Busy)
     }
 }
@@ -75,26 +70,28 @@
     needs_membership: Arc<AtomicBool>,
     log: Logger,
 ) -> std::io::Result<(CoreHandle, JoinHandle<Result<(), StorageError>>)> {
-    let (tx, rx) = sync_channel(INPUT_QUEUE_MAX);
+    let queue = Arc::new(InputQueue::default());
     let core_loop = CoreLoop {
         core,
         clock,
         outbox,
-        handle: CoreHandle { tx: tx.clone() },
+        handle: CoreHandle { queue: Arc::clone(&queue) },
         pending_replies: BTreeMap::new(),
         next_ticket: 0,
         gauges_set_at: None,
         needs_membership,
     };
+    let handle = CoreHandle { queue: Arc::clone(&queue) };
     let thread = std::thread::Builder::new().name("core".to_owned()).spawn(move || {
-        let result = core_loop.run(&rx);
+        let result = core_loop.run(&queue);
+        queue.close();
         if let Err(error) = &result {
             crit!(log, "control: disk failed, exiting"; "event" => "disk.failed",
                 "error" => %error);
         }
         result
     })?;
-    Ok((CoreHandle { tx }, thread))
+    Ok((handle, thread))
 }
 
 struct CoreLoop<D> {
@@ -110,25 +107,22 @@
 }
 
 impl<D: Disk> CoreLoop<D> {
-    fn run(mut self, rx: &Receiver<Input>) -> Result<(), StorageError> {
+    fn run(mut self, queue: &InputQueue) -> Result<(), StorageError> {
         loop {
-            let first = match rx.recv_timeout(TICK) {
-                Ok(input) => Some(input),
-                Err(RecvTimeoutError::Timeout) => None,
-                Err(RecvTimeoutError::Disconnected) => return Ok(()),
-            };
             let mut events = Vec::new();
-            for input in first.into_iter().chain(rx.try_iter().take(BATCH_MAX)) {
+            for input in queue.take(TICK, BATCH_MAX) {
                 if matches!(input, Input::Stop) {
                     return Ok(());
                 }
                 self.add_events(input, &mut events);
             }
-            let started = Instant::now();
+            let (started, now) = (Instant::now(), self.clock.now());
             let inputs = events.len();
-            let actions = self.core.handle(self.clock.now(), events)?;
+            let actions = self.core.handle(now, events)?;
+            let took = started.elapsed();
+            self.core.record_step_time(now, took);
             if inputs > 0 {
-                metrics::histogram!("hg_control_step_seconds").record(started.elapsed());
+                metrics::histogram!("hg_control_step_seconds").record(took);
                 metrics::histogram!("hg_control_step_inputs").record(inputs as f64);
             }
             self.needs_membership.store(self.core.needs_membership(), Ordering::Relaxed);
@@ -161,7 +155,8 @@
         // The process may have been suspended since the decision, so read the clock again.
         if self.core.can_propose(self.clock.now()) {
             self.outbox.send_directives(actions.directives);
-            self.outbox.send_orders(actions.orders, &self.handle);
+            let fleet = self.core.ledger().workflows().upstreams().len();
+            self.outbox.send_orders(actions.orders, fleet, &self.handle);
             self.outbox.call_platform(actions.platform_calls, &self.handle);
         } else {
             self.outbox.report_unsent(actions.orders, &self.handle);
@@ -179,6 +174,9 @@
             return;
         }
         self.gauges_set_at = Some(Instant::now());
+        for (kind, count) in self.handle.queue.lengths() {
+            metrics::gauge!("hg_control_inputs_waiting", "kind" => kind).set(count as f64);
+        }
         let status = self.core.status();
         let now = self.clock.now();
         metrics::gauge!("hg_control_term").set(status.term.0 as f64);
--- a/crates/hg_control/src/file_disk.rs
+++ b/crates/hg_control/src/file_disk.rs
@@ -3,10 +3,14 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write as _};
 use std::path::{Path, PathBuf};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hg_replica::Disk;
 
+/// How often, and after which pause, a file is created again while the process has too many files open.
+const FILE_TRIES_MAX: usize = 40;
+const FILE_RETRY_DELAY: Duration = Duration::from_millis(25);
+
 /// One file in the data folder. Records are appended to it; a snapshot replaces it as a whole.
 #[derive(Debug)]
 pub struct FileDisk {
@@ -70,7 +74,7 @@
 
     fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
         let next = self.folder.join("log.next");
-        let mut f = File::create(&next)?;
+        let mut f = create_when_possible(&next)?;
         f.write_all(bytes)?;
         f.sync_all()?;
         fs::rename(&next, &self.file)?;
@@ -79,3 +83,19 @@
         Ok(())
     }
 }
+
+/// Creates a file; while the process has too many files open, it waits for some to be closed.
+fn create_when_possible(file: &Path) -> io::Result<File> {
+    for _ in 0..FILE_TRIES_MAX {
+        match File::create(file) {
+            Err(error) if is_out_of_files(&error) => std::thread::sleep(FILE_RETRY_DELAY),
+            result => return result,
+        }
+    }
+    File::create(file)
+}
+
+fn is_out_of_files(error: &io::Error) -> bool {
+    let errno = error.raw_os_error().map(rustix::io::Errno::from_raw_os_error);
+    matches!(errno, Some(rustix::io::Errno::MFILE | rustix::io::Errno::NFILE))
+}
--- a/crates/hg_control/src/lib.rs
+++ b/crates/hg_control/src/lib.rs
@@ -15,11 +15,13 @@
 mod file_disk;
 mod founding;
 mod http;
+mod input_queue;
 mod leader_client;
 mod leader_tasks;
 mod leader_watch;
 mod links;
 mod metric;
+mod order_lanes;
 mod requests;
 mod run;
 mod views;
@@ -38,7 +40,7 @@
 pub use leader_watch::watch_leader;
 pub use links::{Drivers, JoiningReplica, request_membership};
 pub use metric::{METRICS, Metric, MetricKind, metrics_page};
-pub use run::{ControlParts, ControlProcess, run, run_found};
+pub use run::{ControlParts, ControlProcess, files_limit, run, run_found};
 pub use workflow::{
     Advice, HostOrder, HostOrderKind, HostOrderResult, Order, OrderId, OrderKind, OrderReport,
     OrderResult, PlatformCall, PlatformCallReport, PlatformDriver, StartRefusal, UpstreamDriver,
--- a/crates/hg_control/src/links.rs
+++ b/crates/hg_control/src/links.rs
@@ -17,8 +17,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::core_loop::{CoreHandle, Input};
+use crate::order_lanes::OrderLanes;
 use crate::workflow::{
-    Order, OrderReport, OrderResult, PlatformCall, PlatformDriver, UpstreamDriver,
+    Order, OrderKind, OrderReport, OrderResult, PlatformCall, PlatformDriver, UpstreamDriver,
 };
 
 /// The maximum number of batches queued for one replica; more are dropped, since the consensus protocol
@@ -59,6 +60,7 @@
     peers: Mutex<BTreeMap<SocketAddr, Sender<Vec<Message>>>>,
     entries: Mutex<BTreeMap<EntryName, Sender<Directive>>>,
     drivers: Drivers,
+    lanes: Arc<OrderLanes>,
 }
 
 /// The drivers for upstreams and the platform; without a driver nothing is sent there.
@@ -79,19 +81,25 @@
         endpoint: LinkEndpoint,
         runtime: Handle,
         drivers: Drivers,
+        files_max: usize,
         log: Logger,
     ) -> Self {
         let (peers, entries) = (Mutex::default(), Mutex::default());
-        Self { shared: Arc::new(Shared { endpoint, runtime, log, peers, entries, drivers }) }
+        let lanes = Arc::new(OrderLanes::new(files_max));
+        let shared = Shared { endpoint, runtime, log, peers, entries, drivers, lanes };
+        Self { shared: Arc::new(shared) }
     }
 
     /// Sends orders to upstreams; the result of each is reported to the core.
-    pub(crate) fn send_orders(&self, orders: Vec<Order>, core: &CoreHandle) {
+    ///
+    /// `fleet` is the number of upstreams among which the process's files are divided.
+    pub(crate) fn send_orders(&self, orders: Vec<Order>, fleet: usize, core: &CoreHandle) {
+        self.shared.lanes.set_fleet(fleet);
         let Some(upstreams) = &self.shared.drivers.upstreams else { return };
         for order in orders {
             let (upstreams, core) = (Arc::clone(upstreams), core.clone());
-            let log = self.shared.log.clone();
-            self.shared.runtime.spawn(execute_order(upstreams, order, core, log));
+            let (lanes, log) = (Arc::clone(&self.shared.lanes), self.shared.log.clone());
+            self.shared.runtime.spawn(execute_order(upstreams, lanes, order, core, log));
         }
     }
 
@@ -158,12 +166,27 @@
 
 async fn execute_order(
     upstreams: Arc<dyn UpstreamDriver>,
+    lanes: Arc<OrderLanes>,
     order: Order,
     core: CoreHandle,
     log: Logger,
 ) {
     let (id, upstream, limit) = (order.id, order.upstream.clone(), order.limit);
-    let result = match timeout(limit, upstreams.carry_out(order)).await {
+    // At most one listing of an upstream is in flight, so listings need no lane.
+    let needs_lane = !matches!(order.kind, OrderKind::Renew { .. });
+    let lane = if needs_lane {
+        let Ok(lane) = timeout(limit, lanes.enter(order.address)).await else {
+            let result = OrderResult::Unsent("other orders were in the way".to_owned());
+            report(&core, &log, OrderReport { id, upstream, result });
+            return;
+        };
+        Some(lane)
+    } else {
+        None
+    };
+    let result = timeout(limit, upstreams.carry_out(order)).await;
+    drop(lane);
+    let result = match result {
         Ok(result) => result,
         Err(_) => OrderResult::Unanswered(format!("no answer within {limit:?}")),
     };
--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 33] = [
+pub const METRICS: [Metric; 35] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -67,6 +67,20 @@
         "Duration of one step of the core, over a batch of inputs.",
     ),
     metric("hg_control_step_inputs", Histogram, "", "inputs", "Inputs in one step of the core."),
+    metric(
+        "hg_control_inputs_waiting",
+        Gauge,
+        "kind: message, report, request, call",
+        "inputs",
+        "Inputs that wait for the core; calls of callers come last.",
+    ),
+    metric(
+        "hg_control_requests_refused",
+        Counter,
+        "",
+        "requests",
+        "Requests refused unhandled because the core had too much to do; they did not run.",
+    ),
     metric(
         "hg_control_messages_dropped",
         Counter,
@@ -162,7 +176,7 @@
     metric(
         "hg_workflow_order_results",
         Counter,
-        "result: started, refused, stopped, listed, paced, fenced, other_life, unanswered",
+        "result: started, refused, stopped, listed, paced, fenced, unsent, other_life, unanswered",
         "orders",
         "Results of orders.",
     ),
--- a/crates/hg_control/src/run.rs
+++ b/crates/hg_control/src/run.rs
@@ -54,6 +54,8 @@
     pub founders: Vec<Founder>,
     /// Settings for workflows.
     pub workflows: WorkflowBounds,
+    /// How many files the process may have open.
+    pub files_max: usize,
 }
 
 /// A running control process.
@@ -74,7 +76,7 @@
     ///
     /// With the step that failed: keys, sockets or the disk.
     pub async fn start(parts: ControlParts, log: &Logger) -> eyre::Result<Self> {
-        let ControlParts { settings, drivers, founders, workflows } = parts;
+        let ControlParts { settings, drivers, founders, workflows, files_max } = parts;
         let prometheus = PrometheusBuilder::new().install_recorder().wrap_err("metrics")?;
         describe_all();
         let keys = KeyFolder::new(&settings.keys);
@@ -89,7 +91,8 @@
         info!(log, "control: starting"; "event" => "control.start", "id" => %id);
 
         let needs_membership = Arc::new(AtomicBool::new(false));
-        let outbox = Outbox::new(endpoint.clone(), Handle::current(), drivers, log.clone());
+        let runtime = Handle::current();
+        let outbox = Outbox::new(endpoint.clone(), runtime, drivers, files_max, log.clone());
         let (core, core_thread) = core_loop::start(
             core,
             clock,
@@ -162,7 +165,8 @@
 pub async fn run(settings: ControlSettings, log: Logger) -> eyre::Result<()> {
     let (drivers, founders) = (Drivers::default(), Vec::new());
     let workflows = WorkflowBounds::default();
-    let parts = ControlParts { settings, drivers, founders, workflows };
+    let files_max = files_limit();
+    let parts = ControlParts { settings, drivers, founders, workflows, files_max };
     let mut process = ControlProcess::start(parts, &log).await?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("signals")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("signals")?;
@@ -175,6 +179,12 @@
     process.stop().await
 }
 
+/// The limit of the system on this process's open files.
+pub fn files_limit() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.and_then(|limit| usize::try_from(limit).ok()).unwrap_or(usize::MAX)
+}
+
 fn core_config(settings: &ControlSettings, workflows: WorkflowBounds) -> CoreConfig {
     let agreement = &settings.agreement;
     let timing = Timing {
--- a/crates/hg_control/src/workflow/dispatch.rs
+++ b/crates/hg_control/src/workflow/dispatch.rs
@@ -60,12 +60,13 @@
         lost: &mut Vec<LostRun>,
     ) {
         let over = session.leases_are_over(self.now);
-        let tasks: Vec<TaskId> = session.runs.keys().cloned().collect();
-        for task in tasks {
-            let run = session.runs.get(&task).cloned();
-            let Some(run) = run.filter(|run| !run.is_loss_pending(self.now)) else {
-                continue;
-            };
+        let due = session.runs.iter().filter(|(_, run)| {
+            let awaits_order = run.stop == StopStage::Requested || run.start == StartStage::Unsent;
+            (awaits_order || (over && run.may_exist())) && !run.is_loss_pending(self.now)
+        });
+        let due: Vec<(TaskId, RunSession)> =
+            due.map(|(task, run)| (task.clone(), run.clone())).collect();
+        for (task, run) in due {
             let never_sent = !run.may_exist() && run.stop == StopStage::Requested;
             let expired = over && run.may_exist();
             if never_sent || expired {
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -19,6 +19,10 @@
 
 /// How often the scheduler decides although nothing changed, since due times and timeouts are reached.
 const DECIDE_EVERY: Duration = Duration::from_millis(100);
+/// The time from the beginning of one round to the next, as a multiple of the time that the first took.
+const ROUND_PAUSE_FACTOR: u32 = 4;
+/// Upper bound of that time.
+const ROUND_PAUSE_MAX: Duration = Duration::from_millis(400);
 /// How often ended workflows and unconfirmed ends are cleaned up.
 const CLEAN_UP_EVERY: Duration = Duration::from_secs(2);
 
@@ -34,6 +38,8 @@
     /// Whether something changed since the last round.
     pub(super) changed: bool,
     decided_at: Time,
+    /// No round of decisions begins before, so that rounds leave time for everything else.
+    next_round_at: Time,
     cleaned_up_at: Time,
 }
 
@@ -48,6 +54,7 @@
             pending_starts: 0,
             changed: true,
             decided_at: Time(0),
+            next_round_at: Time(0),
             cleaned_up_at: now,
         }
     }
@@ -117,10 +124,20 @@
         }
     }
 
+    /// Records how long the step that began at `now` took. If it held a round of decisions, the next round waits
+    /// for a multiple of that: what happens meanwhile is decided on together, and rounds that grow with the fleet
+    /// cannot take the time that leases, acknowledgements and reports need.
+    pub fn record_step_time(&mut self, now: Time, took: Duration) {
+        let Some(leadership) = self.workflow_leadership.as_mut() else { return };
+        if leadership.decided_at == now {
+            leadership.next_round_at = now.after((took * ROUND_PAUSE_FACTOR).min(ROUND_PAUSE_MAX));
+        }
+    }
+
     fn decide_workflows(&mut self, now: Time) {
         let Some(leadership) = self.workflow_leadership.as_mut() else { return };
         let due = leadership.changed || now >= leadership.decided_at.after(DECIDE_EVERY);
-        if !due || leadership.pending_starts > 0 {
+        if !due || leadership.pending_starts > 0 || now < leadership.next_round_at {
             return;
         }
         leadership.changed = false;
--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -9,8 +9,10 @@
 
 impl<D: Disk> Core<D> {
     pub(super) fn log_order_report(&self, report: &OrderReport) {
-        use OrderResult::{Fenced, NotStarted, OtherIncarnation, Unanswered};
-        if let Fenced | NotStarted(_) | OtherIncarnation | Unanswered(_) = &report.result {
+        use OrderResult::{Fenced, NotStarted, OtherIncarnation, Unanswered, Unsent};
+        if let Fenced | Unsent(_) | NotStarted(_) | OtherIncarnation | Unanswered(_) =
+            &report.result
+        {
             warn!(self.log, "workflow: order not carried out"; "event" => "order.failed",
                 "order" => report.id.0, "upstream" => %report.upstream,
                 "result" => ?report.result);
--- a/crates/hg_control/src/workflow/order.rs
+++ b/crates/hg_control/src/workflow/order.rs
@@ -128,6 +128,9 @@
     Listed(RunListing),
     /// The upstream knows a higher fencing token and did nothing.
     Fenced,
+    /// The order was not sent, so it has no effect: the upstream cannot be reached, or other orders were in the
+    /// way. Holds the cause.
+    Unsent(String),
     /// Another process answers at that address.
     OtherIncarnation,
     /// The outcome is unknown: the order may have been carried out, or may still be. Holds the cause.
--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -13,6 +13,8 @@
 
 /// Pause between listings, unless ends are still to be acknowledged.
 const LISTING_PAUSE: Duration = Duration::from_millis(100);
+/// Number of start orders that could not be sent after which the start is given up.
+const UNSENT_STARTS_MAX: u32 = 3;
 /// Number of unanswered start orders after which the run is stopped, to be recorded as lost.
 const UNANSWERED_STARTS_MAX: u32 = 2;
 
@@ -199,6 +201,10 @@
         OrderResult::Fenced | OrderResult::Listed(_) | OrderResult::Paced(_) => {
             reset_for_retry(run, id);
         }
+        OrderResult::Unsent(_) => {
+            on_unsent(run, id);
+            session.record_unanswered(now);
+        }
         OrderResult::Unanswered(_) => {
             on_unanswered(run, id);
             session.record_unanswered(now);
@@ -216,6 +222,18 @@
     }
 }
 
+/// Handles an order that did not reach its upstream. After some tries a start is given up, so that the task can
+/// start elsewhere; the other members of a gang need not wait for it.
+fn on_unsent(run: &mut RunSession, id: OrderId) {
+    if run.start == StartStage::Sent(id) {
+        run.unsent_starts += 1;
+        if run.unsent_starts >= UNSENT_STARTS_MAX && run.stop == StopStage::NotRequested {
+            run.stop = StopStage::Requested;
+        }
+    }
+    reset_for_retry(run, id);
+}
+
 /// Handles an order of unknown outcome: it may have been carried out, or may still be.
 fn on_unanswered(run: &mut RunSession, id: OrderId) {
     if run.start == StartStage::Sent(id) {
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -23,6 +23,9 @@
 const RETRY_BACKOFF_MAX: Duration = Duration::from_millis(800);
 /// How long after a listing its ends may be acknowledged: less than a host takes to restart.
 const LISTING_VALID_FOR: Duration = Duration::from_millis(1_000);
+/// The longest time between two visits of a session: what expires, such as leases and proposals, is noticed with
+/// this delay.
+const VISIT_INTERVAL: Duration = Duration::from_millis(100);
 /// Added to a lease's end before the lease counts as expired, for the network delay and for rounding.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -60,6 +63,8 @@
     pub(super) outcome_unknown: bool,
     /// Number of start orders that were not answered.
     pub(super) unanswered_starts: u32,
+    /// Number of start orders that could not be sent.
+    pub(super) unsent_starts: u32,
     /// When it was last proposed to record the run as lost.
     loss_proposed_at: Option<Time>,
     /// Orders with this id or a higher one were sent after the last change of `start` or `stop`.
@@ -76,6 +81,7 @@
             stop: StopStage::NotRequested,
             outcome_unknown: false,
             unanswered_starts: 0,
+            unsent_starts: 0,
             loss_proposed_at: None,
             first_later_order: OrderId(0),
             checkpoint: None,
@@ -159,6 +165,9 @@
     pub(super) paces_in_flight: BTreeMap<OrderId, TaskId>,
     /// Runs that were listed as running but are not open, such as those of delayed starts.
     pub(super) orphans: BTreeMap<TaskId, RunNumber>,
+    /// When orders may be due next, unless something happens before. Most sessions are not visited in most
+    /// steps of the leader.
+    due_at: Time,
 }
 
 impl Session {
@@ -193,9 +202,27 @@
             pending_paces: BTreeMap::new(),
             paces_in_flight: BTreeMap::new(),
             orphans: BTreeMap::new(),
+            due_at: Time(0),
         }
     }
 
+    /// Records that something happened to the session, so that orders may be due.
+    pub(super) const fn touch(&mut self) {
+        self.due_at = Time(0);
+    }
+
+    /// Whether orders may be due.
+    pub(super) fn is_due(&self, now: Time) -> bool {
+        now >= self.due_at
+    }
+
+    /// Records that all orders that are due at `now` were sent.
+    pub(super) fn record_visit(&mut self, now: Time) {
+        let next = now.after(VISIT_INTERVAL);
+        let reached_later = [self.renew_at, self.retry_at].into_iter().filter(|at| *at > now);
+        self.due_at = reached_later.fold(next, Time::min);
+    }
+
     /// Records how much longer the upstream stays at least; later reports can only postpone its end.
     pub(super) fn record_stay(&mut self, now: Time, min_remaining_ms: Option<u64>) {
         let leaves_at = min_remaining_ms.map(|ms| now.after(Duration::from_millis(ms)));
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -104,7 +104,7 @@
         };
         for report in ledger.upstreams().values() {
             sessions.open(now, report, ledger);
-            if let Some(session) = sessions.sessions.get_mut(&report.name) {
+            if let Some(session) = sessions.touched(&report.name) {
                 session.needs_initial_listing = true;
             }
         }
@@ -113,7 +113,7 @@
 
     /// Handles the registration of an upstream, or a change of its registered properties.
     pub(crate) fn open(&mut self, now: Time, report: &UpstreamReport, ledger: &WorkflowLedger) {
-        let known = self.sessions.get_mut(&report.name);
+        let known = self.touched(&report.name);
         if let Some(session) = known.filter(|s| s.incarnation == report.incarnation) {
             session.address = report.address;
             return;
@@ -135,6 +135,13 @@
         self.sessions.insert(report.name.clone(), session);
     }
 
+    /// The session of an upstream, to be changed.
+    fn touched(&mut self, name: &UpstreamName) -> Option<&mut Session> {
+        let session = self.sessions.get_mut(name)?;
+        session.touch();
+        Some(session)
+    }
+
     /// Handles the deregistration of an upstream.
     pub(crate) fn close(&mut self, name: &UpstreamName) {
         if let Some(session) = self.sessions.remove(name) {
@@ -144,14 +151,14 @@
 
     /// Adds a run whose start is in the log, so that it may be sent.
     pub(crate) fn open_run(&mut self, run: &RunRef) {
-        if let Some(session) = self.sessions.get_mut(&run.upstream) {
+        if let Some(session) = self.touched(&run.upstream) {
             session.runs.insert(run.task.clone(), RunSession::new(run.run));
         }
     }
 
     /// Removes a run that has ended.
     pub(crate) fn close_run(&mut self, run: &RunRef) {
-        if let Some(session) = self.sessions.get_mut(&run.upstream)
+        if let Some(session) = self.touched(&run.upstream)
             && session.runs.get(&run.task).is_some_and(|known| known.run == run.run)
         {
             session.runs.remove(&run.task);
@@ -160,7 +167,7 @@
 
     /// Requests the stop of a run.
     pub(crate) fn stop_run(&mut self, run: &RunRef) {
-        let session = self.sessions.get_mut(&run.upstream);
+        let session = self.touched(&run.upstream);
         let known = session.and_then(|session| session.runs.get_mut(&run.task));
         if let Some(known) = known.filter(|known| known.run == run.run)
             && known.stop == StopStage::NotRequested
@@ -172,7 +179,7 @@
     /// Requests a change of a run's pace.
     pub(crate) fn pace_run(&mut self, change: PaceChange) {
         let PaceChange { run: RunRef { upstream, task, run }, percent } = change;
-        if let Some(session) = self.sessions.get_mut(&upstream) {
+        if let Some(session) = self.touched(&upstream) {
             session.pending_paces.insert(task, (run, percent));
         }
     }
@@ -185,8 +192,7 @@
         incarnation: Incarnation,
         upto: u64,
     ) {
-        if let Some(session) = self.sessions.get_mut(name).filter(|s| s.incarnation == incarnation)
-        {
+        if let Some(session) = self.touched(name).filter(|s| s.incarnation == incarnation) {
             session.ends_proposed_at = None;
             session.recorded_upto = session.recorded_upto.max(upto);
             let idle = session.runs.is_empty();
@@ -205,6 +211,9 @@
         let known = self.sessions.get_mut(name);
         if let Some(session) = known.filter(|s| s.incarnation == incarnation) {
             session.last_contact = now;
+            if !session.has_clock() {
+                session.touch();
+            }
             if let Some(clock) = readings.clock {
                 session.record_clock(now, clock);
             }
@@ -220,8 +229,7 @@
     pub(crate) fn give_up_ended(&mut self, now: Time, ended: &[RunRef], work: &mut Work) {
         let mut lost = Vec::new();
         for RunRef { upstream, task, run } in ended {
-            let unresponsive =
-                self.sessions.get_mut(upstream).filter(|session| session.is_unresponsive());
+            let unresponsive = self.touched(upstream).filter(|session| session.is_unresponsive());
             let Some(session) = unresponsive else { continue };
             let known = session.runs.get_mut(task).filter(|known| known.run == *run);
             let Some(known) = known else { continue };
@@ -268,7 +276,7 @@
         work: &mut Work,
     ) {
         let mut lost = Vec::new();
-        for (name, session) in &mut self.sessions {
+        for (name, session) in self.sessions.iter_mut().filter(|(_, session)| session.is_due(now)) {
             let (term, next) = (self.term, &mut self.next_order);
             let bounds = &self.bounds;
             let mut dispatch = Dispatch { term, next, name, now, work, tickets, bounds };
@@ -280,6 +288,7 @@
                 session.last_contact = now;
                 work.commands.push(session.deregistration(now, name));
             }
+            session.record_visit(now);
         }
         if !lost.is_empty() {
             work.commands.push(WorkflowCommand::RunsLost { runs: lost, at: now });
@@ -290,7 +299,7 @@
     pub(crate) fn on_report(&mut self, now: Time, report: OrderReport, work: &mut Work) {
         let OrderReport { id, upstream, result } = report;
         let first_later_order = OrderId(self.next_order);
-        let Some(session) = self.sessions.get_mut(&upstream) else { return };
+        let Some(session) = self.touched(&upstream) else { return };
         if let Some(task) = session.paces_in_flight.remove(&id) {
             work.unconfirmed_paces.extend(on_pace_report(now, session, &result).then_some(task));
             return;
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -72,6 +72,7 @@
         OrderResult::Paced(_) => "paced",
         OrderResult::Listed(_) => "listed",
         OrderResult::Fenced => "fenced",
+        OrderResult::Unsent(_) => "unsent",
         OrderResult::OtherIncarnation => "other_life",
         OrderResult::Unanswered(_) => "unanswered",
     };
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -1,6 +1,7 @@
 //! Simulates a leader of workflows under lost, late and repeated orders, disconnects, crashes and leader
 //! changes, with random faults from a seed.
 
+mod large_fleet;
 mod workflow_world;
 
 use std::time::Duration;
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -101,6 +101,8 @@
     peer_silent_until: u64,
     /// How long runs take, in milliseconds.
     run_ms: Range<u64>,
+    /// How long the leader is told that each of its steps took.
+    step_time: Duration,
     /// How long the core took for each step.
     steps: Vec<Duration>,
     /// A digest of all orders so far.
@@ -147,6 +149,7 @@
             peer_messages: Vec::new(),
             peer_silent_until: 0,
             run_ms: 200..3_000,
+            step_time: Duration::ZERO,
             steps: Vec::new(),
             orders_digest: DefaultHasher::new(),
         };
@@ -195,6 +198,17 @@
         self.run_ms = run_ms;
     }
 
+    /// Sets how long the leader is told that each of its steps took.
+    pub fn set_step_time(&mut self, step_time: Duration) {
+        self.step_time = step_time;
+    }
+
+    /// Number of workflows that have completed, by the last poll.
+    pub fn completed(&self) -> usize {
+        let completed = Some(WorkflowState::Completed);
+        self.states.values().filter(|state| **state == completed).count()
+    }
+
     /// A digest of all orders so far, to compare two versions of the leader.
     pub fn orders_digest(&self) -> u64 {
         self.orders_digest.finish()
@@ -314,6 +328,7 @@
         let started = Instant::now();
         let actions = self.core.handle(Time(self.now), events).expect("memory");
         self.steps.push(started.elapsed());
+        self.core.record_step_time(Time(self.now), self.step_time);
         for (ticket, reply) in actions.replies {
             let Some(id) = self.pending_tickets.remove(&ticket) else { continue };
             let Reply::Workflow(reply) = reply else { continue };
