--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -9,8 +9,10 @@
 
 impl<D: Disk> Core<D> {
     pub(super) fn log_order_report(&self, report: &OrderReport) {
-        use OrderResult::{Fenced, NotStarted, OtherIncarnation, Unanswered};
-        if let Fenced | NotStarted(_) | OtherIncarnation | Unanswered(_) = &report.result {
+        use OrderResult::{Fenced, NotStarted, OtherIncarnation, Unanswered, Unsent};
+        if let Fenced | Unsent(_) | NotStarted(_) | OtherIncarnation | Unanswered(_) =
+            &report.result
+        {
             warn!(self.log, "workflow: order not carried out"; "event" => "order.failed",
                 "order" => report.id.0, "upstream" => %report.upstream,
                 "result" => ?report.result);
@@ -29,7 +31,8 @@
                 info!(self.log, "workflow: accepted"; "event" => "workflow.accepted", "job" => %id,
                     "queue" => %terms.queue, "priority" => terms.priority,
                     "account" => account.as_ref().map(ToString::to_string),
-                    "steps" => spec.steps.len(), "chain_ms" => spec.estimated_chain_ms());
+                    "steps" => spec.steps.len(), "chain_ms" => spec.estimated_chain_ms(),
+                    "objective_ms" => terms.latency_objective_ms(spec));
             }
             WorkflowCommand::Cancel { id, .. } => {
                 info!(self.log, "workflow: cancelled"; "event" => "workflow.cancelled", "job" => %id);
