hg_policy: tasks of a wide step are compared with their median

Cause: the rate of each run was compared with the fastest of its step, as is right for a gang, whose members have equal work. The tasks of a wide step differ in length, so an upstream that happened to hold long ones counted as slow. Tasks of other steps than gangs are now compared with the median of at least seven siblings.

--- a/crates/hg_cli/src/explain.rs
+++ b/crates/hg_cli/src/explain.rs
@@ -1,6 +1,7 @@
 //! `explain`: reconstructs the history of one job from the logs of all processes, or sums a whole day up.
 
 use std::collections::BTreeSet;
+use std::io::Write as _;
 
 use clap::ArgMatches;
 
@@ -16,7 +17,9 @@
 /// Runs `explain`.
 pub(crate) fn run(matches: &ArgMatches) -> eyre::Result<Exit> {
     if matches.get_flag("day") {
-        print!("{}", DayReport::new(&read_lines(std::io::stdin().lock())?));
+        let report = DayReport::new(&read_lines(std::io::stdin().lock())?);
+        // The reader may have closed the pipe, as `head` does.
+        drop(write!(std::io::stdout(), "{report}"));
         return Ok(Exit::Success);
     }
     let job: &String = matches.get_one("id").ok_or_else(|| eyre::eyre!("clap requires an id"))?;
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -179,6 +179,7 @@
             let expected = ExpectedRun {
                 queue: job.map(|job| &job.terms.queue),
                 estimate_ms: spec.map_or(0, |spec| spec.estimate_ms),
+                is_gang: spec.is_some_and(|spec| spec.gang),
             };
             self.speeds.record_listed(now, upstream, listing.clock, listed, expected);
         }
--- a/crates/hg_policy/src/workflow/speed_tracker.rs
+++ b/crates/hg_policy/src/workflow/speed_tracker.rs
@@ -3,7 +3,8 @@
 //! Handles upstreams that are slower than others, permanently or for some seconds, and upstreams
 //! that stall: a gang is as fast as its slowest member. The members of a gang have equal work, so
 //! comparing each member's rate with the fastest one reveals slow upstreams, whatever the caller
-//! estimated. A task without siblings is compared with how long the tasks of its queue usually take
+//! estimated. The tasks of a wide step differ in length, so each is compared with their median. A task without
+//! such siblings is compared with how long the tasks of its queue usually take
 //! relative to their estimates.
 
 use std::collections::{BTreeMap, VecDeque};
@@ -33,6 +34,9 @@
 /// A run contributes to its queue's ratios only if at least this much of its progress was observed,
 /// in percent.
 const RATIO_PROGRESS_MIN_PERCENT: u32 = 50;
+/// How many siblings of a task that is no member of a gang must have made progress to compare it with them: their
+/// lengths differ.
+const SIBLINGS_MIN: usize = 7;
 /// The slowness of an upstream on which a run is stalled.
 const STALLED_SLOWNESS: f64 = 20.0;
 /// The weight of the newest observation against the earlier ones.
@@ -55,6 +59,8 @@
     pub(crate) queue: Option<&'a QueueName>,
     /// The caller's estimate of the run time; 0 if there is none.
     pub(crate) estimate_ms: u64,
+    /// Whether it is a member of a gang, all of which have equal work.
+    pub(crate) is_gang: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -62,6 +68,7 @@
     run: RunNumber,
     queue: Option<QueueName>,
     estimate_ms: u64,
+    is_gang: bool,
     /// Percent done, and the upstream's clock at that time: the local time would include how long
     /// the listing waited before it was processed.
     first: (u32, ClockReading),
@@ -207,6 +214,7 @@
             run: listed.run,
             queue: expected.queue.cloned(),
             estimate_ms: expected.estimate_ms,
+            is_gang: expected.is_gang,
             first: observed,
             last: observed,
         };
@@ -254,7 +262,7 @@
             return is_stalled(idle_ms, progress.estimate_ms);
         }
         let mut siblings = self.siblings(task, progress.run).peekable();
-        if siblings.peek().is_some() {
+        if progress.is_gang && siblings.peek().is_some() {
             // The members of a gang make progress only once all of them have started.
             siblings.any(|other| other.rate().is_some())
                 && is_stalled(idle_ms, progress.estimate_ms)
@@ -275,15 +283,13 @@
         others.map(|(_, progress)| progress)
     }
 
-    /// Compares a run's rate with the fastest of its step, or with what is typical in its queue,
-    /// and updates the slowness of its upstream.
+    /// Compares a run's rate with that of its siblings, or with what is typical in its queue, and updates the
+    /// slowness of its upstream.
     fn update_slowness(&mut self, now: Time, upstream: &UpstreamName, task: &TaskId) {
         let Some(own) = self.runs.get(task) else { return };
         let Some(rate) = own.rate() else { return };
-        let fastest =
-            self.siblings(task, own.run).filter_map(RunProgress::rate).max_by(f64::total_cmp);
-        let observed = match fastest {
-            Some(fastest) => fastest / rate,
+        let observed = match self.expected_rate(task, own) {
+            Some(expected) => expected / rate,
             None => match (own.estimate_ratio(), self.typical_ratio(own.queue.as_ref())) {
                 (Some(own), Some(typical)) => own / typical,
                 _ => return,
@@ -295,6 +301,18 @@
         self.upstreams.insert(upstream.clone(), Slowness { factor, at: now });
     }
 
+    /// The rate that a run should have, judged by its siblings: that of the fastest member of its gang, or, where
+    /// tasks differ in length, the median of its step. `None` if too few siblings have made progress.
+    fn expected_rate(&self, task: &TaskId, own: &RunProgress) -> Option<f64> {
+        let rates = self.siblings(task, own.run).filter_map(RunProgress::rate);
+        if own.is_gang {
+            return rates.max_by(f64::total_cmp);
+        }
+        let mut rates: Vec<f64> = rates.collect();
+        rates.sort_by(f64::total_cmp);
+        rates.get(rates.len() / 2).copied().filter(|_| rates.len() >= SIBLINGS_MIN)
+    }
+
     /// The ratio of run time to estimate that most tasks of a queue do not exceed.
     fn typical_ratio(&self, queue: Option<&QueueName>) -> Option<f64> {
         let ratios = self.ratios.get(queue?).filter(|ratios| ratios.len() >= RATIOS_MIN)?;
--- a/crates/hg_policy/tests/workflow/starts_and_stops.rs
+++ b/crates/hg_policy/tests/workflow/starts_and_stops.rs
@@ -519,6 +519,50 @@
     assert!(harness.round(0).stops.is_empty());
 }
 
+/// The true run times of the tasks of a wide step, in milliseconds: they differ by a factor of four although their
+/// estimates are equal. By chance the longest are on the first upstream, and the shortest on the others.
+fn uneven_run_ms(run: &RunRef) -> u64 {
+    match (run.task.index, run.task.index % 8) {
+        (6 | 7, _) => 8_800,
+        (_, 6 | 7) => 2_200,
+        _ => 4_500,
+    }
+}
+
+/// Starts a step of 32 uneven tasks on four upstreams and reports their progress for 4 s. The upstreams in `slow`
+/// work at a sixth of the speed. Returns the runs that are stopped meanwhile.
+fn stops_of_uneven_tasks(slow: &[&str]) -> Vec<RunRef> {
+    let mut harness = Harness::new(1, 4);
+    harness.submit("sweep", 2, vec![batch_step(32)]);
+    let runs: Vec<_> = harness.round(0).starts.iter().map(run_of).collect();
+    assert_eq!(runs.len(), 32);
+    let mut stops = Vec::new();
+    for elapsed_ms in (0_u64..4_000).step_by(500) {
+        report_progress(&mut harness, &runs, |run| {
+            let factor = if slow.contains(&run.upstream.as_str()) { 6 } else { 1 };
+            let percent = 1 + elapsed_ms * 99 / (uneven_run_ms(run) * factor);
+            u32::try_from(percent.min(99)).expect("a percentage")
+        });
+        stops.extend(stopped_runs(harness.round(500)));
+    }
+    stops
+}
+
+/// The longest tasks of a wide step run at a quarter of the rate of the shortest. That says nothing about their
+/// upstreams: taking them for slow ones restarted gangs beside them.
+#[test]
+fn uneven_tasks_of_a_wide_step_make_no_upstream_slow() {
+    let stops = stops_of_uneven_tasks(&[]);
+    assert!(stops.is_empty(), "{stops:?}");
+}
+
+#[test]
+fn upstream_that_is_slow_for_all_tasks_of_a_wide_step_is_detected() {
+    let stops = stops_of_uneven_tasks(&["u1"]);
+    assert!(!stops.is_empty());
+    assert!(stops.iter().all(|run| run.upstream == upstream(1)), "{stops:?}");
+}
+
 #[test]
 fn gang_gets_the_upstreams_that_drain_soonest() {
     let mut harness = Harness::new(1, 4);
