--- a/crates/hg_policy/src/workflow/reservation.rs
+++ b/crates/hg_policy/src/workflow/reservation.rs
@@ -16,9 +16,9 @@
 use super::ready_steps::ReadyStep;
 use super::speed_tracker::SpeedTracker;
 
-/// How many gangs have a reservation at the same time; the gangs behind them wait for a later
-/// round.
-pub(crate) const RESERVATIONS_MAX: usize = 4;
+/// Gangs get reservations while less than this share of their pool is reserved, in percent; the gangs
+/// behind them wait for a later round.
+const RESERVED_MAX_PERCENT: u64 = 25;
 
 /// Nothing is reserved while a smaller share of a pool is in use, in percent: small tasks keep no
 /// gang out then, and leaving idle upstreams unused would be of no benefit.
@@ -82,20 +82,21 @@
     }
 }
 
-/// Reserves the upstreams that can hold a gang soonest. Returns whether there are enough of them.
+/// Reserves the upstreams that can hold a gang soonest, if there are enough of them and the pool has not
+/// reserved its share yet.
 pub(crate) fn reserve(
     step: &ReadyStep<'_>,
     drains: &mut DrainTimes<'_>,
     speeds: &SpeedTracker,
     capacity: &mut CapacityMap<'_>,
-) -> bool {
-    if !is_busy(&step.job.terms.pool, capacity) {
-        return false;
+) {
+    if !may_reserve(&step.job.terms.pool, capacity) {
+        return;
     }
     let scopes = scopes(drains.now, step, capacity).into_iter();
     let plans = scopes.filter_map(|scope| earliest_fit(step, &scope, drains, speeds, capacity));
     let Some((starts_at, members)) = plans.min_by_key(|(starts_at, _)| *starts_at) else {
-        return false;
+        return;
     };
     let claim = step.spec.claim();
     for position in members {
@@ -104,16 +105,18 @@
             candidate.reservation.map_or_else(ResourceVector::default, |earlier| earlier.claim);
         candidate.reservation = Some(Reservation { claim: earlier.plus(&claim), starts_at });
     }
-    true
 }
 
-/// Whether enough of a pool is in use that small tasks may keep gangs out.
-fn is_busy(pool: &PoolName, capacity: &CapacityMap<'_>) -> bool {
-    let candidates = capacity.candidates().filter(|candidate| candidate.report.pool == *pool);
-    let (free, all) = candidates.fold((0, 0), |(free, all), candidate| {
-        (free + candidate.free.weight(), all + candidate.report.capacity.weight())
-    });
-    (all - free.min(all)) * 100 >= all * USED_MIN_PERCENT
+/// Whether enough of a pool is in use that small tasks may keep gangs out, and little enough is reserved.
+fn may_reserve(pool: &PoolName, capacity: &CapacityMap<'_>) -> bool {
+    let (mut all, mut free, mut reserved) = (0, 0, 0);
+    for candidate in capacity.candidates().filter(|candidate| candidate.report.pool == *pool) {
+        all += candidate.report.capacity.weight();
+        free += candidate.free.weight();
+        reserved += candidate.reservation.map_or(0, |reservation| reservation.claim.weight());
+    }
+    let used = all - free.min(all);
+    used * 100 >= all * USED_MIN_PERCENT && reserved * 100 < all * RESERVED_MAX_PERCENT
 }
 
 /// When a gang could start within a scope, and the upstreams that can hold its members soonest, one
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -17,7 +17,7 @@
 use super::placement::place;
 use super::preemption::{PreemptionContext, PreemptionPlan, plan_preemption};
 use super::ready_steps::{ReadyStep, ready_steps};
-use super::reservation::{DrainTimes, RESERVATIONS_MAX, reserve};
+use super::reservation::{DrainTimes, reserve};
 use super::run_table::RunTable;
 use super::speed_tracker::{ExpectedRun, SpeedTracker};
 use super::standby::StandbyHosts;
@@ -230,7 +230,6 @@
         self.holds.apply_to(&mut round.capacity);
         self.headroom.reserve(now, &round.runs, &mut round.capacity);
         let mut unplaced = Vec::new();
-        let mut reservation_count = 0;
         for step in &ready {
             let all_placed = if self.holds.contains(&step.id) {
                 self.start_in_hold(step, &mut round)
@@ -238,7 +237,7 @@
                 self.place_or_preempt(step, &mut round)
             };
             if !all_placed {
-                self.reserve_for_gang(step, &mut reservation_count, &mut round);
+                self.reserve_for_gang(step, &mut round);
                 unplaced.push(step);
             }
         }
@@ -347,18 +346,10 @@
         false
     }
 
-    /// Reserves draining upstreams for a gang that could not be placed, if it is among the first
-    /// `RESERVATIONS_MAX` of these.
-    fn reserve_for_gang(
-        &self,
-        step: &ReadyStep<'_>,
-        reservation_count: &mut usize,
-        round: &mut Round<'_>,
-    ) {
-        let may_reserve = step.spec.gang && !step.is_urgent() && !step.is_overdue();
-        if may_reserve && *reservation_count < RESERVATIONS_MAX {
-            let reserved = reserve(step, &mut round.drains, &self.speeds, &mut round.capacity);
-            *reservation_count += usize::from(reserved);
+    /// Reserves draining upstreams for a gang that could not be placed.
+    fn reserve_for_gang(&self, step: &ReadyStep<'_>, round: &mut Round<'_>) {
+        if step.spec.gang && !step.is_urgent() && !step.is_overdue() {
+            reserve(step, &mut round.drains, &self.speeds, &mut round.capacity);
         }
     }
 
