--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -89,6 +89,27 @@
     run_seeds(Faults { disconnects: 250, crashes: 150, lost_orders: 10, ..Faults::default() });
 }
 
+#[test]
+fn workflows_end_despite_orders_that_cannot_be_sent() {
+    run_seeds(Faults { unsent_orders: 150, lost_answers: 20, crashes: 50, ..Faults::default() });
+}
+
+/// A start that cannot be sent has no effect, so nothing has to be waited for: the gang restarts elsewhere before
+/// the members that did start have waited for the last one in vain.
+#[test]
+fn gang_with_a_member_whose_upstream_accepts_no_connections_restarts_elsewhere() {
+    let mut world = World::new(1, Faults::default());
+    world.refuse_connections(0);
+    let whole = ResourceVector::new(8, 2_000, 4_096);
+    let gang = StepSpec { estimate_ms: 1_500, ..StepSpec::new(3, whole) }.with_gang();
+    world.submit_spec(0, WorkflowSpec::new("work", vec![gang.clone()]));
+    world.submit_spec(1, WorkflowSpec::new("work", vec![gang]));
+    let gang_wait_ms = 3_000;
+    world.run(gang_wait_ms);
+    let busy: Vec<u32> = world.busy().collect();
+    assert!(busy.len() >= 3 && !busy.contains(&0), "runs are on {busy:?}");
+}
+
 #[test]
 fn workflows_end_despite_leader_changes() {
     run_seeds(Faults {
@@ -112,6 +133,7 @@
         cancels: 100,
         lease_gaps: 100,
         permanent_losses: 30,
+        unsent_orders: 30,
     });
 }
 
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -1,6 +1,6 @@
 //! A step-by-step simulation of the leader, the upstreams and the network between them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -49,6 +49,8 @@
     pub late_orders: u32,
     /// Answers that are lost after the order was carried out.
     pub lost_answers: u32,
+    /// Orders that cannot be sent.
+    pub unsent_orders: u32,
     /// Runs that fail.
     pub failing_runs: u32,
     /// Chance each second that one upstream is disconnected, or connected again.
@@ -99,6 +101,8 @@
     peer_messages: Vec<Message>,
     /// The other replica sends nothing before then.
     peer_silent_until: u64,
+    /// Upstreams that send heartbeats but accept no connections.
+    unreachable: BTreeSet<UpstreamName>,
     /// How long runs take, in milliseconds.
     run_ms: Range<u64>,
     /// How long the leader is told that each of its steps took.
@@ -148,6 +152,7 @@
             specs: BTreeMap::new(),
             peer_messages: Vec::new(),
             peer_silent_until: 0,
+            unreachable: BTreeSet::new(),
             run_ms: 200..3_000,
             step_time: Duration::ZERO,
             steps: Vec::new(),
@@ -193,6 +198,11 @@
         u64::try_from(self.bounds.lease_max.as_millis()).expect("a bound")
     }
 
+    /// Makes an upstream accept no connections, although it still sends heartbeats.
+    pub fn refuse_connections(&mut self, number: u32) {
+        self.unreachable.insert(name(number));
+    }
+
     /// Sets how long runs take that start from now on, in milliseconds.
     pub fn set_run_ms(&mut self, run_ms: Range<u64>) {
         self.run_ms = run_ms;
@@ -378,7 +388,13 @@
         let network_delay = self.rng.random_range(0..NETWORK_DELAY_MAX_MS);
         let unanswered = OrderResult::Unanswered("no answer".to_owned());
         let none = OrderReport { id, upstream, result: unanswered };
-        if self.chance(self.faults.late_orders) {
+        if self.chance(self.faults.unsent_orders) || self.unreachable.contains(&order.upstream) {
+            let result = OrderResult::Unsent("connection refused".to_owned());
+            self.schedule(
+                self.now + network_delay,
+                InFlight::Report(OrderReport { result, ..none }),
+            );
+        } else if self.chance(self.faults.late_orders) {
             let delay = self.rng.random_range(2_000..12_000);
             self.schedule(self.now + limit, InFlight::Report(none));
             self.schedule(self.now + delay, InFlight::Order(order, Answer::Lost, incarnation));
--- a/crates/hg_policy/tests/workflow/starts_and_stops.rs
+++ b/crates/hg_policy/tests/workflow/starts_and_stops.rs
@@ -563,6 +563,29 @@
     assert!(stops.iter().all(|run| run.upstream == upstream(1)), "{stops:?}");
 }
 
+/// Gangs that wait for whole upstreams starve if small tasks take each accelerator as it becomes free. How many of
+/// them get upstreams reserved follows from the size of the pool.
+#[test]
+fn reservations_of_gangs_grow_with_the_pool() {
+    let mut harness = Harness::new(4, 8);
+    harness.submit("first", 2, vec![batch_step(256)]);
+    let first: Vec<_> = harness.round(0).starts.iter().map(run_of).collect();
+    assert_eq!(first.len(), 256, "the pool is full");
+    for number in 0..12 {
+        harness.submit(&format!("gang-{number}"), 1, vec![gang_step(1)]);
+    }
+    harness.submit("second", 2, vec![batch_step(256)]);
+    harness.round(10);
+    // One accelerator becomes free on each upstream.
+    for run in first.iter().step_by(8) {
+        harness.end(run, EndKind::Done);
+    }
+    let starts = harness.round(10).starts;
+    let of_second = starts.iter().filter(|start| start.task.step.job.as_str() == "second").count();
+    // A gang takes 72 of the 96 units of an upstream's weight, so a quarter of the pool holds eleven of the twelve.
+    assert_eq!(of_second, 32 - 11, "small tasks leave a quarter of the pool to gangs");
+}
+
 #[test]
 fn gang_gets_the_upstreams_that_drain_soonest() {
     let mut harness = Harness::new(1, 4);
