--- a/crates/hg_e2e/tests/bad_input.rs
+++ b/crates/hg_e2e/tests/bad_input.rs
@@ -74,6 +74,20 @@
     Ok(())
 }
 
+/// A caller that sends too large a body is still sending when that is noticed. It must get the response all the same,
+/// not a reset connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn too_large_body_is_answered_while_it_is_sent() -> eyre::Result<()> {
+    let deployment = Deployment::start(1).await?;
+    let mut large = job("large", true, 0, 0);
+    large["body"] = json!("x".repeat(9 << 20));
+    for _ in 0..20 {
+        let reply = deployment.api(0).submit(&large).await?;
+        assert_eq!((reply.status, &reply.body["code"]), (413, &json!("too_large")));
+    }
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_lists_change_nothing() -> eyre::Result<()> {
     let deployment = Deployment::start(1).await?;
--- a/crates/hg_entry/src/api/mod.rs
+++ b/crates/hg_entry/src/api/mod.rs
@@ -15,7 +15,9 @@
 use poem::{Body, EndpointExt as _, Response, Route, Server, delete, get, post};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::io::{AsyncRead, AsyncReadExt as _};
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use crate::Entry;
 
@@ -26,6 +28,10 @@
 /// Largest body of an operator's or an upstream's request, in bytes.
 const SMALL_BODY_BYTES: usize = 4 << 20;
 
+/// How much of a body that is too large is read and discarded, as a multiple of what is allowed, and for how long.
+const DISCARDED_BODIES_MAX: u64 = 4;
+const DISCARD_LIMIT: Duration = Duration::from_secs(5);
+
 /// Serves until `stop` becomes true; requests in progress may then finish.
 pub(crate) async fn serve(
     entry: Arc<Entry>,
@@ -63,14 +69,26 @@
 
 /// Reads a JSON body of at most `limit` bytes.
 async fn read_json<T: DeserializeOwned>(body: Body, limit: usize) -> Result<T, ApiError> {
-    let bytes = body.into_bytes_limit(limit).await.map_err(|error| match error {
-        poem::error::ReadBodyError::PayloadTooLarge => {
-            ApiError::new(ErrorCode::TooLarge, format!("at most {limit} bytes are allowed"))
-        }
-        other => ApiError::new(ErrorCode::BadRequest, other.to_string()),
-    })?;
-    serde_json::from_slice(&bytes)
-        .map_err(|error| ApiError::new(ErrorCode::BadRequest, error.to_string()))
+    let mut body = body.into_async_read();
+    let mut bytes = Vec::new();
+    let bad_request = |error: String| ApiError::new(ErrorCode::BadRequest, error);
+    let allowed = u64::try_from(limit).unwrap_or(u64::MAX);
+    let read = (&mut body).take(allowed.saturating_add(1)).read_to_end(&mut bytes).await;
+    read.map_err(|error| bad_request(error.to_string()))?;
+    if bytes.len() > limit {
+        discard_rest(body, allowed).await;
+        let message = format!("at most {limit} bytes are allowed");
+        return Err(ApiError::new(ErrorCode::TooLarge, message));
+    }
+    serde_json::from_slice(&bytes).map_err(|error| bad_request(error.to_string()))
+}
+
+/// Reads on for a while after a body turned out too large. Closing a connection with unread bytes resets it, and the
+/// caller would lose the response that says why.
+async fn discard_rest(body: impl AsyncRead + Unpin, limit: u64) {
+    let mut rest = body.take(limit.saturating_mul(DISCARDED_BODIES_MAX));
+    // Whatever goes wrong here, the request is refused all the same.
+    drop(timeout(DISCARD_LIMIT, tokio::io::copy(&mut rest, &mut tokio::io::sink())).await);
 }
 
 /// A JSON response.
--- a/crates/hg_policy/src/workflow/speed_tracker.rs
+++ b/crates/hg_policy/src/workflow/speed_tracker.rs
@@ -36,7 +36,7 @@
 const RATIO_PROGRESS_MIN_PERCENT: u32 = 50;
 /// How many siblings of a task that is no member of a gang must have made progress to compare it with them: their
 /// lengths differ.
-const SIBLINGS_MIN: usize = 7;
+const SIBLINGS_MIN: usize = 3;
 /// The slowness of an upstream on which a run is stalled.
 const STALLED_SLOWNESS: f64 = 20.0;
 /// The weight of the newest observation against the earlier ones.
