--- a/crates/hg_control/src/input_queue/tests.rs
+++ b/crates/hg_control/src/input_queue/tests.rs
@@ -1,4 +1,4 @@
-//! Guards against overload that takes the leader its lease, loses reports, or lets calls wait until nobody does.
+//! Guards against overload that costs the leader its lease, loses reports, or keeps calls waiting longer than their callers do.
 
 use hg_link::{CallerAction, CallerRequest};
 use hg_model::UpstreamName;
