hg_control: a crash of an upstream is told apart from its other ends, with what ran there

An upstream that starts again under its name, or whose address another one takes, ended. Until now the logs did not say whether it had announced that, nor what ran there. The line upstream.crashed names the runs with their age at the last sign of life, and those whose start was never confirmed; hg_workflow_upstream_crashes counts. Ends that were announced or ordered (leaving, upkeep, moves of hosts) are none. Nothing is decided from it yet.

--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 35] = [
+pub const METRICS: [Metric; 36] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -180,6 +180,13 @@
         "orders",
         "Results of orders.",
     ),
+    metric(
+        "hg_workflow_upstream_crashes",
+        Counter,
+        "",
+        "upstreams",
+        "Upstreams that started again without having announced their end.",
+    ),
     metric(
         "hg_workflow_round_seconds",
         Histogram,
--- /dev/null
+++ b/crates/hg_control/src/workflow/crash_evidence.rs
@@ -0,0 +1,96 @@
+//! What is known of an incarnation that ended without notice.
+//!
+//! An upstream that leaves says so first, and one whose host goes down for upkeep or to another pool was ordered to. Every
+//! other end is a crash, whatever its cause: a task, the host, a loss of power.
+
+use hg_ledger::{ExposedRun, WorkflowLedger};
+use hg_model::{HostName, Incarnation, Time, UpstreamName, UpstreamReport};
+use hg_replica::Disk;
+use slog::warn;
+
+use super::session::{Session, StartStage};
+use super::telemetry;
+use crate::Core;
+
+/// The end of an incarnation that had not announced it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct CrashEvidence {
+    pub(crate) upstream: UpstreamName,
+    pub(crate) incarnation: Incarnation,
+    /// It was last known to be running before this.
+    pub(crate) silent_since: Time,
+    /// The runs that it may have had.
+    pub(crate) runs: Vec<ExposedRun>,
+}
+
+impl Session {
+    /// The runs that the upstream may have, as far as its orders and listings tell.
+    pub(super) fn exposed_runs(
+        &self,
+        name: &UpstreamName,
+        ledger: &WorkflowLedger,
+    ) -> Vec<ExposedRun> {
+        let exposed = self.runs.iter().filter(|(_, run)| run.may_exist());
+        let exposed = exposed.filter_map(|(task, run)| {
+            let open = ledger.occupancy().get(name, task).filter(|open| open.run == run.run)?;
+            // A run of an earlier incarnation ended with that one.
+            let is_own = open.incarnation == self.incarnation;
+            let is_confirmed = run.start == StartStage::Confirmed && !run.outcome_unknown;
+            let (task, run, since) = (task.clone(), run.run, open.since);
+            is_own.then_some(ExposedRun { task, run, since, is_confirmed })
+        });
+        exposed.collect()
+    }
+}
+
+impl<D: Disk> Core<D> {
+    /// Handles the end of a registered incarnation, of which another one on its address or under its name is the
+    /// proof.
+    pub(super) fn on_incarnation_ended(&mut self, now: Time, known: &UpstreamReport) {
+        let Some(crash) = self.crash_evidence(known) else { return };
+        let Some(leadership) = self.workflow_leadership.as_mut() else { return };
+        if leadership.sessions.record_crash(now, &crash.upstream, crash.incarnation) {
+            self.log_crash(now, &crash);
+        }
+    }
+
+    /// What is known of the end of a registered incarnation; `None` if its end was planned.
+    fn crash_evidence(&self, known: &UpstreamReport) -> Option<CrashEvidence> {
+        let leadership = self.workflow_leadership.as_ref()?;
+        let ledger = self.ledger.workflows();
+        let is_planned = known.leaving
+            || known.host.as_ref().is_some_and(|host| {
+                leadership.platform_calls.moving().contains(host) || is_in_upkeep(ledger, host)
+            });
+        if is_planned {
+            return None;
+        }
+        let session = leadership.sessions.get(&known.name, known.incarnation)?;
+        Some(CrashEvidence {
+            upstream: known.name.clone(),
+            incarnation: known.incarnation,
+            silent_since: session.silent_since(),
+            runs: session.exposed_runs(&known.name, ledger),
+        })
+    }
+
+    /// Logs and counts the crash of an upstream.
+    fn log_crash(&self, now: Time, crash: &CrashEvidence) {
+        telemetry::record_crash();
+        let age = |run: &ExposedRun| crash.silent_since.since(run.since).as_millis();
+        let runs = crash.runs.iter().map(|run| {
+            let doubt = if run.is_confirmed { "" } else { "?" };
+            format!("{}:{}{doubt}@{}ms", run.task, run.run, age(run))
+        });
+        warn!(self.log, "workflow: upstream crashed"; "event" => "upstream.crashed",
+            "upstream" => %crash.upstream, "incarnation" => crash.incarnation.0,
+            "silent_ms" => now.since(crash.silent_since).as_millis(),
+            "runs" => runs.collect::<Vec<_>>().join(" "));
+    }
+}
+
+/// Whether a running wave has ordered the upkeep of a host.
+fn is_in_upkeep(ledger: &WorkflowLedger, host: &HostName) -> bool {
+    let is_ordered = |stage: &hg_ledger::UpkeepStage| *stage != hg_ledger::UpkeepStage::Waiting;
+    ledger.waves().running().any(|wave| wave.hosts.get(host).is_some_and(is_ordered))
+}
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -119,6 +119,11 @@
     pub(crate) fn carry_out_work(&mut self, now: Time, work: Work) {
         telemetry::record_orders(&work.orders);
         self.actions.orders.extend(work.orders);
+        for name in work.other_incarnations {
+            if let Some(known) = self.ledger.workflows().upstreams().get(&name).cloned() {
+                self.on_incarnation_ended(now, &known);
+            }
+        }
         for command in work.commands {
             self.propose(now, Command::Workflow(command), Purpose::Kept);
         }
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -9,6 +9,7 @@
 //!   results.
 
 mod broken_gangs;
+mod crash_evidence;
 mod dispatch;
 mod leadership;
 mod log_lines;
--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -39,6 +39,7 @@
         }
         OrderResult::OtherIncarnation => {
             session.renew_at = now.after(SUSPECT_FOR);
+            work.other_incarnations.push(name.clone());
             work.commands.push(session.deregistration(now, name));
         }
         _ => {
@@ -196,6 +197,7 @@
         }
         OrderResult::OtherIncarnation => {
             reset_for_retry(run, id);
+            work.other_incarnations.push(name.clone());
             work.commands.push(session.deregistration(now, name));
         }
         OrderResult::Fenced | OrderResult::Listed(_) | OrderResult::Paced(_) => {
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -229,13 +229,19 @@
         if known.is_some_and(|known| *known == report || known.incarnation > incarnation) {
             return Some(WorkflowReply::Noted);
         }
+        let earlier = known.filter(|known| known.incarnation < incarnation).cloned();
         let others = workflows.upstreams().values();
         let mut same_address = others.filter(|u| u.address == report.address && u.name != name);
-        if let Some(other) = same_address.next() {
-            if other.incarnation > incarnation {
-                // A delayed heartbeat of an incarnation that has ended.
-                return Some(WorkflowReply::Noted);
-            }
+        let other = same_address.next().cloned();
+        if other.as_ref().is_some_and(|other| other.incarnation > incarnation) {
+            // A delayed heartbeat of an incarnation that has ended.
+            return Some(WorkflowReply::Noted);
+        }
+        for ended in earlier.iter().chain(&other) {
+            self.on_incarnation_ended(now, ended);
+        }
+        if let Some(other) = other {
+            let leadership = self.workflow_leadership.as_ref()?;
             let command = leadership.sessions.deregistration(now, &other.name, other.incarnation);
             self.propose(now, Command::Workflow(command), Purpose::Kept);
         }
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -152,6 +152,10 @@
     pub(super) ends_proposed_at: Option<Time>,
     /// Number of orders in a row that it left unanswered.
     unanswered_in_a_row: u32,
+    /// When it left the first of them unanswered.
+    unanswered_since: Option<Time>,
+    /// When it was last recorded that this incarnation has crashed.
+    crash_recorded_at: Option<Time>,
     /// No start or stop is sent before then.
     pub(super) retry_at: Time,
     /// It gets no new work before then.
@@ -195,6 +199,8 @@
             listed_at: None,
             ends_proposed_at: None,
             unanswered_in_a_row: 0,
+            unanswered_since: None,
+            crash_recorded_at: None,
             retry_at: Time(0),
             suspect_until: Time(0),
             leaves_at: None,
@@ -229,6 +235,21 @@
         self.leaves_at = self.leaves_at.max(leaves_at);
     }
 
+    /// Since when this incarnation may have ended, if it has: the first order that it left unanswered, or else its
+    /// last sign of life.
+    pub(super) fn silent_since(&self) -> Time {
+        self.unanswered_since.unwrap_or(self.last_contact)
+    }
+
+    /// Records that this incarnation has crashed. Returns whether that is new, or may have been lost.
+    pub(super) fn record_crash(&mut self, now: Time) -> bool {
+        let is_new = !is_proposal_pending(self.crash_recorded_at, now);
+        if is_new {
+            self.crash_recorded_at = Some(now);
+        }
+        is_new
+    }
+
     /// The last known checkpoint of a run.
     pub(super) fn saved_checkpoint(&self, task: &TaskId, run: RunNumber) -> Option<&Checkpoint> {
         self.runs.get(task).filter(|known| known.run == run)?.checkpoint.as_ref()
@@ -298,6 +319,7 @@
     pub(super) fn record_unanswered(&mut self, now: Time) {
         let pause = RETRY_BACKOFF * 2_u32.saturating_pow(self.unanswered_in_a_row);
         self.unanswered_in_a_row += 1;
+        self.unanswered_since.get_or_insert(now);
         self.retry_at = now.after(pause.min(RETRY_BACKOFF_MAX));
         self.suspect_until = now.after(SUSPECT_FOR);
         self.listed_at = None;
@@ -311,6 +333,7 @@
     /// Records that it answered an order.
     pub(super) const fn record_answer(&mut self) {
         self.unanswered_in_a_row = 0;
+        self.unanswered_since = None;
         self.retry_at = Time(0);
         self.suspect_until = Time(0);
     }
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -27,6 +27,8 @@
     pub(crate) orders: Vec<Order>,
     /// Commands to be proposed to the replicated log.
     pub(crate) commands: Vec<WorkflowCommand>,
+    /// Upstreams that answered as another incarnation than the registered one.
+    pub(crate) other_incarnations: Vec<UpstreamName>,
     /// Tasks whose change of pace may not have been applied.
     pub(crate) unconfirmed_paces: Vec<TaskId>,
 }
@@ -62,6 +64,11 @@
         }
     }
 
+    /// The session of an incarnation.
+    pub(super) fn get(&self, name: &UpstreamName, incarnation: Incarnation) -> Option<&Session> {
+        self.sessions.get(name).filter(|session| session.incarnation == incarnation)
+    }
+
     /// The command that records the end of an upstream's incarnation, with the known checkpoints of its runs.
     pub(crate) fn deregistration(
         &self,
@@ -69,8 +76,7 @@
         name: &UpstreamName,
         incarnation: Incarnation,
     ) -> WorkflowCommand {
-        let session = self.sessions.get(name).filter(|s| s.incarnation == incarnation);
-        match session {
+        match self.get(name, incarnation) {
             Some(session) => session.deregistration(now, name),
             None => {
                 let (name, saved) = (name.clone(), Vec::new());
@@ -142,6 +148,17 @@
         Some(session)
     }
 
+    /// Records that an incarnation has crashed. Returns whether that is new, or may have been lost.
+    pub(super) fn record_crash(
+        &mut self,
+        now: Time,
+        name: &UpstreamName,
+        incarnation: Incarnation,
+    ) -> bool {
+        let session = self.sessions.get_mut(name).filter(|s| s.incarnation == incarnation);
+        session.is_some_and(|session| session.record_crash(now))
+    }
+
     /// Handles the deregistration of an upstream.
     pub(crate) fn close(&mut self, name: &UpstreamName) {
         if let Some(session) = self.sessions.remove(name) {
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -52,6 +52,10 @@
     metrics::counter!("hg_workflow_run_ends", "kind" => "lost").increment(count);
 }
 
+pub(super) fn record_crash() {
+    metrics::counter!("hg_workflow_upstream_crashes").increment(1);
+}
+
 pub(super) fn record_orders(orders: &[Order]) {
     for order in orders {
         let kind = match order.kind {
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -2,6 +2,7 @@
 //! waves.
 
 mod command;
+mod crash;
 mod effect;
 mod ledger;
 mod occupancy;
@@ -10,6 +11,7 @@
 mod waves;
 
 pub use command::{LostRun, RunStart, SavedProgress, WorkflowCommand};
+pub use crash::ExposedRun;
 pub use effect::{RunRef, WorkflowEffect};
 pub use ledger::WorkflowLedger;
 pub use occupancy::{Occupancy, OpenRun};
