Tests: upstreams that crash under a task, by themselves or with their rack, and capacity that changes

The stand-in upstreams of the leader's fuzzer crash as an upstream does: connections cut, runs and memory gone, back after 1 to 4 s as a new incarnation; and their capacity shrinks and grows, guarded or not. The oracle counts crashes under each task, and checks that a workflow which failed had a cause.

--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -1,6 +1,7 @@
 //! Simulates a leader of workflows under lost, late and repeated orders, disconnects, crashes and leader
 //! changes, with random faults from a seed.
 
+mod crashing_tasks;
 mod large_fleet;
 mod workflow_world;
 
@@ -134,6 +135,7 @@
         lease_gaps: 100,
         permanent_losses: 30,
         unsent_orders: 30,
+        ..Faults::default()
     });
 }
 
--- a/crates/hg_control/tests/workflow_world/oracle.rs
+++ b/crates/hg_control/tests/workflow_world/oracle.rs
@@ -2,7 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use hg_model::{EndKind, RunNumber, TaskId, UpstreamName, WorkflowSpec};
+use hg_model::{EndKind, RunNumber, StepId, TaskId, UpstreamName, WorkflowSpec};
+
+/// After this many upstreams have crashed under a task, it may start only [`LATE_STARTS_MAX`] times more.
+const CRASHES_LIMIT: u32 = 3;
+const LATE_STARTS_MAX: u32 = 2;
 
 /// Tracks every start and end that an upstream carried out.
 #[derive(Debug, Default)]
@@ -17,6 +21,14 @@
     /// How often a task may fail.
     attempts_max: u32,
     done: BTreeSet<TaskId>,
+    /// How many runs of each task ended as failed, whether that was acknowledged or not; for a gang, of any member.
+    failed_ends: BTreeMap<(StepId, u32), u32>,
+    /// How many upstreams crashed while a task ran there.
+    crashes: BTreeMap<TaskId, u32>,
+    /// Starts of a task after `CRASHES_LIMIT` upstreams had crashed under it.
+    late_starts: BTreeMap<TaskId, u32>,
+    /// Until when a smaller capacity of an upstream may be unknown to the leader.
+    shrunk_until: BTreeMap<UpstreamName, u64>,
     /// Number of runs whose lease expired, and of tasks whose work was done again.
     pub wasted: u32,
 }
@@ -61,6 +73,14 @@
         assert!(!self.acknowledged.contains(task), "{task} started after its end was acknowledged");
         let failures = self.failures.get(task).copied().unwrap_or(0);
         assert!(failures < self.attempts_max, "{task} started after {failures} failures");
+        if self.crashes_under(task) >= CRASHES_LIMIT && !self.is_innocent(task) {
+            let late = self.late_starts.entry(task.clone()).or_insert(0);
+            *late += 1;
+            assert!(
+                *late <= LATE_STARTS_MAX,
+                "{task} started {late} times after it had crashed {CRASHES_LIMIT} upstreams"
+            );
+        }
         let other = self.running.insert(task.clone(), (upstream.clone(), run));
         assert_eq!(other, None, "{task} run {run} at {upstream} runs twice");
     }
@@ -70,6 +90,10 @@
         self.running.remove(task);
         let redone = kind == EndKind::Done && self.done.contains(task);
         self.wasted += u32::from(kind == EndKind::Lapsed || redone);
+        if kind == EndKind::Failed {
+            let member = if self.is_gang(task) { 0 } else { task.index };
+            *self.failed_ends.entry((task.step.clone(), member)).or_insert(0) += 1;
+        }
         if kind == EndKind::Done {
             self.unacknowledged.insert((upstream.clone(), task.clone()));
             self.done.insert(task.clone());
@@ -97,6 +121,58 @@
         self.unacknowledged.retain(|(at, _)| at != upstream);
     }
 
+    /// The task of a workflow that crashes each upstream that starts it: its content is `deadly-INDEX`, or `deadly`
+    /// if all of its tasks do.
+    pub fn is_deadly(&self, task: &TaskId) -> bool {
+        let content = &*self.spec(task).content;
+        content == "deadly"
+            || content.strip_prefix("deadly-").is_some_and(|index| index == task.index.to_string())
+    }
+
+    fn is_innocent(&self, task: &TaskId) -> bool {
+        !self.is_deadly(task)
+    }
+
+    /// How many upstreams crashed while the task ran there.
+    pub fn crashes_under(&self, task: &TaskId) -> u32 {
+        self.crashes.get(task).copied().unwrap_or(0)
+    }
+
+    /// The tasks under which upstreams crashed, with how many.
+    pub const fn crashes(&self) -> &BTreeMap<TaskId, u32> {
+        &self.crashes
+    }
+
+    /// Records that an upstream crashed, with all its runs.
+    pub fn crashed(&mut self, upstream: &UpstreamName) {
+        let victims = self.running.iter().filter(|(_, (at, _))| at == upstream);
+        for task in victims.map(|(task, _)| task.clone()).collect::<Vec<_>>() {
+            *self.crashes.entry(task).or_insert(0) += 1;
+        }
+        self.incarnation_ended(upstream);
+    }
+
+    /// Records that an upstream's capacity has shrunk, which the leader need not know before `until`.
+    pub fn shrunk(&mut self, upstream: &UpstreamName, until: u64) {
+        self.shrunk_until.insert(upstream.clone(), until);
+    }
+
+    /// Checks a start that exceeds the capacity of its upstream.
+    pub fn exceeded_capacity(&self, now: u64, upstream: &UpstreamName, task: &TaskId) {
+        let until = self.shrunk_until.get(upstream).copied().unwrap_or(0);
+        assert!(now <= until, "{task} started at {upstream} although it exceeds its capacity");
+    }
+
+    /// Checks a workflow that the leader reports as failed: a task must have failed too often, or have crashed two
+    /// upstreams.
+    pub fn reported_failed(&self, id: &str) {
+        let is_of = |step: &StepId| step.job.as_str() == id;
+        let failed = self.failed_ends.iter().any(|((s, _), n)| is_of(s) && *n >= self.attempts_max);
+        let deadly =
+            self.crashes.iter().any(|(t, n)| is_of(&t.step) && *n >= 2 && self.is_deadly(t));
+        assert!(failed || deadly, "{id} is reported as failed, but none of its tasks is the cause");
+    }
+
     /// Records that an upstream's incarnation ended with all its runs.
     pub fn incarnation_ended(&mut self, upstream: &UpstreamName) {
         self.running.retain(|_, (at, _)| at != upstream);
--- a/crates/hg_control/tests/workflow_world/stand_in.rs
+++ b/crates/hg_control/tests/workflow_world/stand_in.rs
@@ -34,6 +34,8 @@
     pub capacity: ResourceVector,
     /// Whether no message reaches it or comes back.
     pub disconnected: bool,
+    /// Whether it refuses starts that exceed its capacity.
+    pub enforces_capacity: bool,
     /// The time bounds that it keeps.
     bounds: WorkflowBounds,
     started_at: u64,
@@ -59,6 +61,7 @@
             incarnation: Incarnation(incarnation),
             capacity,
             disconnected: false,
+            enforces_capacity: true,
             bounds,
             started_at: now,
             fence: Term(0),
@@ -211,10 +214,14 @@
         }
         self.extend(clock, lease_until.0);
         let claim = oracle.spec(task).steps[task.step.step as usize].claim();
-        if !self.used().plus(&claim).fits(&self.capacity) {
+        let fits = self.used().plus(&claim).fits(&self.capacity);
+        if self.enforces_capacity && !fits {
             return OrderResult::NotStarted(StartRefusal::NoRoom);
         }
         oracle.started(&self.name, task, run, content);
+        if !fits {
+            oracle.exceeded_capacity(now, &self.name, task);
+        }
         let ends_at = (!oracle.is_gang(task)).then_some(now + work_ms);
         self.running.insert(task.clone(), Run { run, claim, ends_at, since: now, kind });
         OrderResult::Started(clock)
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hg_control::{Core, CoreConfig, Event, Order, OrderReport, OrderResult, Ticket};
+use hg_control::{Core, CoreConfig, Event, Order, OrderKind, OrderReport, OrderResult, Ticket};
 use hg_ledger::Ledger;
 use hg_link::{
     CallerAction, CallerRequest, Reply, Request, WorkflowReply, WorkflowRequest, encode,
@@ -65,8 +65,24 @@
     pub cancels: u32,
     /// Chance each second of a gap in the leader's lease.
     pub lease_gaps: u32,
+    /// Workflows with a task that crashes each upstream that starts it.
+    pub deadly_jobs: u32,
+    /// Chance each second that one upstream crashes without a cause in its runs, and is down for a while.
+    pub outages: u32,
+    /// Chance each second that all upstreams of a rack lose power at the same time.
+    pub power_losses: u32,
+    /// Chance each second that the capacity of one upstream shrinks, or is restored.
+    pub capacity_changes: u32,
 }
 
+/// How long after its start a deadly task crashes its upstream, in milliseconds.
+const DEADLY_AFTER_MS: Range<u64> = 0..400;
+/// How long an upstream is down after a crash, in milliseconds.
+const DOWN_MS: Range<u64> = 1_000..4_000;
+/// How long the leader may start work in capacity that an upstream no longer has, beyond a heartbeat, in
+/// milliseconds.
+const SHRINK_GRACE_MS: u64 = 3_000;
+
 #[derive(Debug)]
 enum InFlight {
     /// An order, with the incarnation to whose connection it belongs: it is lost when that ends.
@@ -103,6 +119,12 @@
     peer_silent_until: u64,
     /// Upstreams that send heartbeats but accept no connections.
     unreachable: BTreeSet<UpstreamName>,
+    /// Upstreams that have crashed, with the time at which their next incarnation starts.
+    down: BTreeMap<UpstreamName, u64>,
+    /// Crashes that tasks are about to cause, by time.
+    doomed: Vec<(u64, UpstreamName, Incarnation)>,
+    /// Whether upstreams refuse starts that exceed their capacity.
+    enforces_capacity: bool,
     /// How long runs take, in milliseconds.
     run_ms: Range<u64>,
     /// How long the leader is told that each of its steps took.
@@ -153,6 +175,9 @@
             peer_messages: Vec::new(),
             peer_silent_until: 0,
             unreachable: BTreeSet::new(),
+            down: BTreeMap::new(),
+            doomed: Vec::new(),
+            enforces_capacity: true,
             run_ms: 200..3_000,
             step_time: Duration::ZERO,
             steps: Vec::new(),
@@ -172,6 +197,8 @@
         for _ in 0..ms / STEP_MS {
             self.now += STEP_MS;
             self.inject_faults();
+            self.crash_doomed_upstreams();
+            self.restart_upstreams();
             self.advance_upstreams();
             self.send_heartbeats();
             let peer_messages = std::mem::take(&mut self.peer_messages).into_iter();
@@ -232,6 +259,9 @@
     /// Injects no more faults from now on, except runs that fail.
     pub fn stop_faults(&mut self) {
         self.faults = Faults { failing_runs: self.faults.failing_runs, ..Faults::default() };
+        for number in 0..UPSTREAMS {
+            self.set_capacity(number, HOST);
+        }
         for upstream in self.upstreams.values_mut() {
             upstream.disconnected = false;
         }
@@ -253,6 +283,81 @@
         self.oracle.wasted
     }
 
+    /// How many upstreams crashed under each task.
+    pub const fn crashes(&self) -> &BTreeMap<TaskId, u32> {
+        self.oracle.crashes()
+    }
+
+    /// The state of a workflow by the last poll.
+    pub fn state(&self, number: u32) -> Option<WorkflowState> {
+        self.states.get(&JobId::new(format!("job-{number}")).expect("a good name")).copied()?
+    }
+
+    /// Makes the upstreams start whatever they are asked to, whether they have the capacity or not.
+    pub fn stop_enforcing_capacity(&mut self) {
+        self.enforces_capacity = false;
+        for upstream in self.upstreams.values_mut() {
+            upstream.enforces_capacity = false;
+        }
+    }
+
+    /// Changes the capacity of an upstream; its next heartbeat reports it.
+    pub fn set_capacity(&mut self, number: u32, capacity: ResourceVector) {
+        let until = self.now + SHRINK_GRACE_MS + self.heartbeat_ms();
+        let Some(upstream) = self.upstreams.get_mut(&name(number)) else { return };
+        if !upstream.capacity.fits(&capacity) {
+            self.oracle.shrunk(&upstream.name, until);
+        }
+        upstream.capacity = capacity;
+    }
+
+    /// Starts a new leader, which knows only what is in the log.
+    pub fn change_leader(&mut self) {
+        let storage = Storage::open(self.disk.clone()).expect("memory").expect("founded");
+        let seed = self.rng.random_range(0..u64::MAX);
+        self.core = core(storage, self.bounds, self.now, seed);
+        trace(self.now, "another leader");
+        self.pending_tickets.clear();
+        self.in_flight.retain(|_, item| matches!(item, InFlight::Order(..)));
+    }
+
+    /// Ends an upstream's incarnation with its runs and its connections; the next one starts under the same name
+    /// after some seconds.
+    fn crash(&mut self, victim: &UpstreamName) {
+        if !self.upstreams.contains_key(victim) {
+            return;
+        }
+        trace(self.now, &format!("{victim} crashes"));
+        self.break_gangs_of(victim);
+        self.oracle.crashed(victim);
+        self.upstreams.remove(victim);
+        let back_at = self.now + self.rng.random_range(DOWN_MS);
+        self.down.insert(victim.clone(), back_at);
+    }
+
+    fn crash_doomed_upstreams(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.doomed.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, victim, incarnation) in due {
+            if self.upstreams.get(&victim).is_some_and(|u| u.incarnation == incarnation) {
+                self.crash(&victim);
+            }
+        }
+    }
+
+    fn restart_upstreams(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.down.extract_if(.., |_, back_at| *back_at <= now).collect();
+        for (upstream, _) in due {
+            trace(now, &format!("{upstream} is back"));
+            self.start_upstream(&upstream);
+        }
+    }
+
+    fn heartbeat_ms(&self) -> u64 {
+        u64::try_from(self.bounds.heartbeat.as_millis()).expect("a bound")
+    }
+
     /// Submits a random workflow.
     pub fn submit(&mut self, number: u32) {
         let spec = self.draw_spec(number);
@@ -310,7 +415,14 @@
             let last = StepSpec::new(2, ResourceVector::new(1, 1_000, 1_024)).with_after(vec![0]);
             steps.push(StepSpec { estimate_ms: 500, ..last });
         }
-        WorkflowSpec { content: Arc::from(format!("work-{number}")), steps, schedule: None }
+        let content = if !self.chance(self.faults.deadly_jobs) {
+            format!("work-{number}")
+        } else if self.rng.random_range(0..2) == 0 {
+            "deadly".to_owned()
+        } else {
+            format!("deadly-{}", self.rng.random_range(0..steps[0].tasks))
+        };
+        WorkflowSpec { content: Arc::from(content), steps, schedule: None }
     }
 
     fn call(&mut self, id: &JobId, action: CallerAction) {
@@ -347,8 +459,10 @@
                     self.states.insert(id, Some(WorkflowState::Queued));
                 }
                 WorkflowReply::State(state) => {
-                    if state == WorkflowState::Completed {
-                        self.oracle.reported_completed(id.as_str());
+                    match state {
+                        WorkflowState::Completed => self.oracle.reported_completed(id.as_str()),
+                        WorkflowState::Failed => self.oracle.reported_failed(id.as_str()),
+                        _ => {}
                     }
                     self.states.insert(id, Some(state));
                 }
@@ -434,6 +548,12 @@
         };
         let result = stand_in.handle_order(now, order, work, &mut self.oracle);
         trace(now, &format!("{upstream} {:?} -> {result:?}", order.kind));
+        if let (OrderKind::Start { task, .. }, OrderResult::Started(_)) = (&order.kind, &result)
+            && self.oracle.is_deadly(task)
+        {
+            let crash_at = now + self.rng.random_range(DEADLY_AFTER_MS);
+            self.doomed.push((crash_at, upstream.clone(), incarnation));
+        }
         if answer == Answer::Wanted {
             let delay = self.rng.random_range(0..NETWORK_DELAY_MAX_MS);
             self.schedule(now + delay, InFlight::Report(OrderReport { id, upstream, result }));
@@ -494,8 +614,7 @@
     }
 
     fn send_heartbeats(&mut self) {
-        let heartbeat_ms = u64::try_from(self.bounds.heartbeat.as_millis()).expect("a bound");
-        if !self.now.is_multiple_of(heartbeat_ms) {
+        if !self.now.is_multiple_of(self.heartbeat_ms()) {
             return;
         }
         let connected = self.upstreams.values().filter(|upstream| !upstream.disconnected);
@@ -508,7 +627,9 @@
 
     fn start_upstream(&mut self, name: &UpstreamName) {
         self.incarnations += 1;
-        let stand_in = StandIn::new(name.clone(), self.incarnations, HOST, self.bounds, self.now);
+        let mut stand_in =
+            StandIn::new(name.clone(), self.incarnations, HOST, self.bounds, self.now);
+        stand_in.enforces_capacity = self.enforces_capacity;
         self.upstreams.insert(name.clone(), stand_in);
     }
 
@@ -563,13 +684,27 @@
             trace(self.now, "gap in the lease");
             self.peer_silent_until = self.now + LEASE_GAP_MS;
         }
+        if self.chance(self.faults.outages) {
+            self.crash(&victim);
+        }
+        if self.chance(self.faults.power_losses) {
+            let rack = self.rng.random_range(0..UPSTREAMS / PER_RACK);
+            for number in rack * PER_RACK..(rack + 1) * PER_RACK {
+                self.crash(&name(number));
+            }
+        }
+        if self.chance(self.faults.capacity_changes) {
+            let number = self.rng.random_range(0..UPSTREAMS);
+            let share = [1, 2, 4][self.rng.random_range(0..3)];
+            let capacity = ResourceVector::new(
+                HOST.accelerators / share,
+                HOST.millicores / share,
+                HOST.memory_mib / share,
+            );
+            self.set_capacity(number, capacity);
+        }
         if self.chance(self.faults.leader_changes) {
-            let storage = Storage::open(self.disk.clone()).expect("memory").expect("founded");
-            let seed = self.rng.random_range(0..u64::MAX);
-            self.core = core(storage, self.bounds, self.now, seed);
-            trace(self.now, "another leader");
-            self.pending_tickets.clear();
-            self.in_flight.retain(|_, item| matches!(item, InFlight::Order(..)));
+            self.change_leader();
         }
     }
 }
