hg_control: a start that could not be sent and whose stop was answered is given up

Callers saw: a workflow that never ended. Cause: a run whose start order could not be sent while its stop was acknowledged counted neither as one that was never sent (that wanted the stop still to be sent) nor as one to look for in a listing (none is asked for where nothing may run), so nothing happened to it any more. A run of which no start was sent cannot run, whatever became of its stop.

--- a/crates/hg_control/src/workflow/dispatch.rs
+++ b/crates/hg_control/src/workflow/dispatch.rs
@@ -67,7 +67,7 @@
         let due: Vec<(TaskId, RunSession)> =
             due.map(|(task, run)| (task.clone(), run.clone())).collect();
         for (task, run) in due {
-            let never_sent = !run.may_exist() && run.stop == StopStage::Requested;
+            let never_sent = !run.may_exist() && run.stop != StopStage::NotRequested;
             let expired = over && run.may_exist();
             if never_sent || expired {
                 lost.push(self.give_up(session, &task, &run));
