A task that crashes its upstreams is isolated, and given up once chance explains its crashes no more

Class of fault: a failure that destroys its own evidence. A run that disappears with its upstream is recorded as lost, and a loss counted for nothing: neither against the attempts of its task, nor for the placement of the next run; and what a leader knew of it was gone with the leader.

- hg_ledger: crashes of upstreams with the runs that they may have had are in the log (UpstreamCrashed; UpstreamSilenced for runs given up before it is known whether their upstream crashed).
A task that is done is cleared.
- hg_policy: suspects start where nothing else runs, on a quarter of the pool at most; each crash there is weighed by how likely it was without the task (how long the run was exposed, how often other upstreams crash without a known cause, whether several crashed at once): a sequential probability ratio test.
At 1 : 1,000,000 the workflow fails.
Bystanders, losses of power and flapping upstreams accuse nobody.
From the third crash on a task starts only while no other upstream crashes; from the fourth on less evidence suffices.
- hg_control: no start is sent to an upstream that left an order unanswered until a listing shows that it is still the same incarnation: a repeated start went to the next one, and crashed it before that had registered.

The fuzzer's check that no work is repeated without faults took for granted that 20 s are enough to repeat what faults had lost; isolated work may take longer. It now knows each end that was lost while there were faults, and counts every other repetition as before.

--- a/crates/hg_control/src/core.rs
+++ b/crates/hg_control/src/core.rs
@@ -18,6 +18,7 @@
 use slog::{Logger, crit, debug, info, warn};
 
 use crate::entry_registry::EntryRegistry;
+use crate::snapshot::{decode_ledger, encode_ledger};
 use crate::workflow::{
     Order, OrderReport, PlatformCall, PlatformCallReport, WorkflowLeadership, WorkflowReplyKind,
 };
@@ -290,7 +291,7 @@
     }
 
     fn install_snapshot(&mut self, snapshot: &Snapshot) {
-        match decode(&snapshot.data) {
+        match decode_ledger(&snapshot.data) {
             Ok(ledger) => self.ledger = ledger,
             Err(cause) => {
                 crit!(self.log, "control: snapshot cannot be decoded";
@@ -304,7 +305,7 @@
         if self.replica.log_entries() < self.cfg.limits.snapshot_entries {
             return Ok(());
         }
-        self.replica.compact(self.replica.applied(), encode(&self.ledger));
+        self.replica.compact(self.replica.applied(), encode_ledger(&self.ledger));
         let out = self.replica.take_output();
         self.storage.write(&out.writes)
     }
@@ -339,7 +340,7 @@
     fn fail_proposal(&mut self, purpose: &Purpose, reply: Reply) {
         match purpose {
             Purpose::Asked { ticket, .. } => self.actions.replies.push((*ticket, reply)),
-            Purpose::WorkflowDecided => self.on_starts_settled(),
+            Purpose::WorkflowDecided => self.on_decision_settled(),
             Purpose::Decided | Purpose::Kept => {}
         }
     }
@@ -439,7 +440,7 @@
                         leadership.unapplied_decisions.saturating_sub(1);
                 }
             }
-            Purpose::WorkflowDecided => self.on_starts_settled(),
+            Purpose::WorkflowDecided => self.on_decision_settled(),
             Purpose::Kept => {}
         }
     }
--- a/crates/hg_control/src/founding.rs
+++ b/crates/hg_control/src/founding.rs
@@ -9,12 +9,14 @@
 
 use derive_more::{Display, Error};
 use hg_ledger::Ledger;
-use hg_link::{LinkEndpoint, Reply, Request, encode};
+use hg_link::{LinkEndpoint, Reply, Request};
 use hg_model::{HostName, Term};
 use hg_replica::{Configuration, Disk, Index, Peer, ReplicaId, Snapshot, Storage, StorageError};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use crate::encode_ledger;
+
 /// How long each of the other hosts may take to reply that a group exists.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 /// The incarnation of every founder.
@@ -118,7 +120,7 @@
         index: Index(1),
         term: Term(1),
         configuration: Configuration { peers: founders.iter().map(peer).collect() },
-        data: encode(&Ledger::new()).into(),
+        data: encode_ledger(&Ledger::new()).into(),
     }
 }
 
--- a/crates/hg_control/src/lib.rs
+++ b/crates/hg_control/src/lib.rs
@@ -24,6 +24,7 @@
 mod order_lanes;
 mod requests;
 mod run;
+mod snapshot;
 mod views;
 mod workflow;
 
@@ -41,6 +42,7 @@
 pub use links::{Drivers, JoiningReplica, request_membership};
 pub use metric::{METRICS, Metric, MetricKind, metrics_page};
 pub use run::{ControlParts, ControlProcess, files_limit, run, run_found};
+pub use snapshot::{decode_ledger, encode_ledger};
 pub use workflow::{
     Advice, HostOrder, HostOrderKind, HostOrderResult, Order, OrderId, OrderKind, OrderReport,
     OrderResult, PlatformCall, PlatformCallReport, PlatformDriver, StartRefusal, UpstreamDriver,
--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 36] = [
+pub const METRICS: [Metric; 37] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -187,6 +187,13 @@
         "upstreams",
         "Upstreams that started again without having announced their end.",
     ),
+    metric(
+        "hg_workflow_given_up",
+        Counter,
+        "",
+        "tasks",
+        "Tasks given up because they crash their upstreams.",
+    ),
     metric(
         "hg_workflow_round_seconds",
         Histogram,
--- a/crates/hg_control/src/workflow/dispatch.rs
+++ b/crates/hg_control/src/workflow/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sends the orders that are due to one upstream.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -66,9 +67,13 @@
         });
         let due: Vec<(TaskId, RunSession)> =
             due.map(|(task, run)| (task.clone(), run.clone())).collect();
+        let mut silenced = BTreeSet::new();
         for (task, run) in due {
             let never_sent = !run.may_exist() && run.stop != StopStage::NotRequested;
             let expired = over && run.may_exist();
+            if expired {
+                silenced.insert(task.clone());
+            }
             if never_sent || expired {
                 lost.push(self.give_up(session, &task, &run));
             } else if self.now < session.retry_at {
@@ -81,6 +86,8 @@
                 self.start(session, ledger, &task, &run);
             }
         }
+        let command = session.silenced(self.now, self.name, ledger, |task| silenced.contains(task));
+        self.work.commands.extend(command);
     }
 
     /// Stops runs that the upstream listed but that are not open.
@@ -115,8 +122,8 @@
         run: &RunSession,
     ) {
         let awaits_listing = run.outcome_unknown && run.unanswered_starts == 0;
-        if awaits_listing {
-            // An earlier leader may have started it; the next listing shows that.
+        if awaits_listing || !session.is_incarnation_confirmed() {
+            // An earlier leader may have started it, or the upstream may have restarted; the next listing shows that.
             return;
         }
         let Some((content, checkpoint)) = start_content(ledger, task) else { return };
@@ -142,7 +149,8 @@
         if !is_due || blocked {
             return;
         }
-        let wait = if session.needs_initial_listing || session.runs.is_empty() {
+        let is_urgent = session.needs_initial_listing || !session.is_incarnation_confirmed();
+        let wait = if is_urgent || session.runs.is_empty() {
             Duration::ZERO
         } else if has_interference(session, ledger) {
             INTERFERENCE_WAIT
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -33,8 +33,8 @@
     pub(crate) scheduler: WorkflowScheduler,
     pub(crate) platform_calls: PlatformCalls,
     broken_gangs: BrokenGangs,
-    /// Number of proposed commands with starts that are not applied yet.
-    pending_starts: usize,
+    /// Number of proposed commands with decisions that are not applied yet.
+    pending_decisions: usize,
     /// Whether something changed since the last round.
     pub(super) changed: bool,
     decided_at: Time,
@@ -51,7 +51,7 @@
             scheduler: WorkflowScheduler::new(bounds),
             platform_calls: PlatformCalls::new(first_host_order_at, term),
             broken_gangs: BrokenGangs::default(),
-            pending_starts: 0,
+            pending_decisions: 0,
             changed: true,
             decided_at: Time(0),
             next_round_at: Time(0),
@@ -60,6 +60,13 @@
     }
 }
 
+impl WorkflowLeadership {
+    /// Takes no further decisions until a proposed one is applied.
+    pub(super) const fn await_decision(&mut self) {
+        self.pending_decisions += 1;
+    }
+}
+
 impl<D: Disk> Core<D> {
     pub(crate) fn start_workflow_leadership(&self, now: Time, term: Term) -> WorkflowLeadership {
         let bounds = self.cfg.workflows;
@@ -80,7 +87,7 @@
         let mut work = Work::default();
         let ledger = self.ledger.workflows();
         let presumed_ended = leadership.broken_gangs.presumed_ended(ledger);
-        leadership.sessions.give_up_ended(now, &presumed_ended, &mut work);
+        leadership.sessions.give_up_ended(now, ledger, &presumed_ended, &mut work);
         leadership.sessions.advance(now, ledger, leadership.scheduler.tickets(), &mut work);
         self.actions.platform_calls.extend(leadership.platform_calls.advance(now, ledger));
         self.carry_out_work(now, work);
@@ -142,7 +149,7 @@
     fn decide_workflows(&mut self, now: Time) {
         let Some(leadership) = self.workflow_leadership.as_mut() else { return };
         let due = leadership.changed || now >= leadership.decided_at.after(DECIDE_EVERY);
-        if !due || leadership.pending_starts > 0 || now < leadership.next_round_at {
+        if !due || leadership.pending_decisions > 0 || now < leadership.next_round_at {
             return;
         }
         leadership.changed = false;
@@ -178,8 +185,12 @@
         }
         leadership.platform_calls.order_moves(decisions.moves);
         let upkeeps = leadership.platform_calls.order_upkeeps(decisions.upkeeps);
+        for task in decisions.given_up {
+            self.give_up_task(now, task);
+        }
+        let Some(leadership) = self.workflow_leadership.as_mut() else { return };
         if !decisions.starts.is_empty() {
-            leadership.pending_starts += 1;
+            leadership.await_decision();
             let command = WorkflowCommand::Start { starts: decisions.starts, at: now };
             self.propose(now, Command::Workflow(command), Purpose::WorkflowDecided);
         }
@@ -188,10 +199,10 @@
         }
     }
 
-    /// Handles proposed starts that were applied, or that never will be.
-    pub(crate) fn on_starts_settled(&mut self) {
+    /// Handles a proposed decision that was applied, or that never will be.
+    pub(crate) fn on_decision_settled(&mut self) {
         if let Some(leadership) = self.workflow_leadership.as_mut() {
-            leadership.pending_starts = leadership.pending_starts.saturating_sub(1);
+            leadership.pending_decisions = leadership.pending_decisions.saturating_sub(1);
             leadership.changed = true;
         }
     }
--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -78,6 +78,13 @@
                 info!(self.log, "workflow: upkeep"; "event" => "host.upkeep", "wave" => %wave,
                     "host" => %host, "stage" => ?stage);
             }
+            WorkflowCommand::UpstreamSilenced { name, incarnation, runs, .. } => {
+                warn!(self.log, "workflow: leases expired on a silent upstream";
+                    "event" => "upstream.silenced", "upstream" => %name,
+                    "incarnation" => incarnation.0, "runs" => runs.len());
+            }
+            // These were logged with their reasons when they were decided.
+            WorkflowCommand::UpstreamCrashed { .. } | WorkflowCommand::GiveUp { .. } => {}
             WorkflowCommand::Forget { .. } => {}
         }
     }
--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -43,6 +43,7 @@
             work.commands.push(session.deregistration(now, name));
         }
         _ => {
+            session.runs.values_mut().for_each(record_unsent);
             session.record_unanswered(now);
             session.renew_at = session.retry_at;
         }
@@ -61,7 +62,7 @@
     session.needs_initial_listing = false;
     session.record_answer();
     session.acknowledged_upto = session.acknowledged_upto.max(session.acknowledging_upto);
-    session.listed_at = Some(now);
+    session.record_listed(now);
     let fresh: Vec<RunEnd> =
         listing.ended.into_iter().filter(|end| end.number > session.recorded_upto).collect();
     let running: BTreeMap<&TaskId, _> =
@@ -133,7 +134,7 @@
 pub(super) fn on_pace_report(now: Time, session: &mut Session, result: &OrderResult) -> bool {
     match result {
         OrderResult::Paced(clock) => {
-            session.record_clock(now, *clock);
+            session.record_answer_clock(now, *clock);
             session.record_answer();
         }
         OrderResult::Unanswered(_) => session.record_unanswered(now),
@@ -167,13 +168,14 @@
         OrderResult::Started(clock) | OrderResult::Stopped(clock) => Some(*clock),
         _ => None,
     };
-    if let Some(clock) = clock {
-        session.record_clock(now, clock);
+    let is_own = clock.is_none_or(|clock| session.record_answer_clock(now, clock));
+    if clock.is_some() {
         session.record_answer();
     }
     let Some(run) = session.runs.get_mut(&task) else { return };
     match result {
         OrderResult::Started(_) => {
+            run.is_elsewhere |= !is_own;
             run.start = StartStage::Confirmed;
             run.first_later_order = first_later_order;
             session.renew_at = session.renew_at.min(now);
@@ -224,16 +226,22 @@
     }
 }
 
-/// Handles an order that did not reach its upstream. After some tries a start is given up, so that the task can
-/// start elsewhere; the other members of a gang need not wait for it.
+/// Handles an order that did not reach its upstream.
 fn on_unsent(run: &mut RunSession, id: OrderId) {
-    if run.start == StartStage::Sent(id) {
-        run.unsent_starts += 1;
-        if run.unsent_starts >= UNSENT_STARTS_MAX && run.stop == StopStage::NotRequested {
-            run.stop = StopStage::Requested;
-        }
-    }
     reset_for_retry(run, id);
+    record_unsent(run);
+}
+
+/// Records that the upstream cannot be reached or does not answer. After some tries a start is given up, so that the task can start
+/// elsewhere; the other members of a gang need not wait for it.
+fn record_unsent(run: &mut RunSession) {
+    if run.may_exist() {
+        return;
+    }
+    run.unsent_starts += 1;
+    if run.unsent_starts >= UNSENT_STARTS_MAX && run.stop == StopStage::NotRequested {
+        run.stop = StopStage::Requested;
+    }
 }
 
 /// Handles an order of unknown outcome: it may have been carried out, or may still be.
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -229,6 +229,7 @@
         if known.is_some_and(|known| *known == report || known.incarnation > incarnation) {
             return Some(WorkflowReply::Noted);
         }
+        let is_unknown = known.is_none();
         let earlier = known.filter(|known| known.incarnation < incarnation).cloned();
         let others = workflows.upstreams().values();
         let mut same_address = others.filter(|u| u.address == report.address && u.name != name);
@@ -240,6 +241,9 @@
         for ended in earlier.iter().chain(&other) {
             self.on_incarnation_ended(now, ended);
         }
+        if is_unknown {
+            self.on_return(now, &name, incarnation);
+        }
         if let Some(other) = other {
             let leadership = self.workflow_leadership.as_ref()?;
             let command = leadership.sessions.deregistration(now, &other.name, other.incarnation);
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -9,6 +9,7 @@
 use hg_model::{Checkpoint, ClockReading, Incarnation, RunNumber, TaskId, Time, UpstreamName};
 
 use super::OrderId;
+use super::dispatch::LISTING_WAIT;
 
 /// How much slower than the leader's clock an upstream's clock may run, in percent.
 const CLOCK_SLOW_PERCENT: u64 = 2;
@@ -21,6 +22,9 @@
 const RETRY_BACKOFF: Duration = Duration::from_millis(50);
 /// Upper bound of the backoff: an upstream that is reachable again should be contacted within a second.
 const RETRY_BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// An answer whose clock reading is older than this comes from a later incarnation, whose clock has started anew. Orders
+/// other than listings time out sooner.
+const ANSWER_DELAY_MAX: Duration = Duration::from_millis(700);
 /// How long after a listing its ends may be acknowledged: less than a host takes to restart.
 const LISTING_VALID_FOR: Duration = Duration::from_millis(1_000);
 /// The longest time between two visits of a session: what expires, such as leases and proposals, is noticed with
@@ -67,6 +71,8 @@
     pub(super) unsent_starts: u32,
     /// When it was last proposed to record the run as lost.
     loss_proposed_at: Option<Time>,
+    /// Whether a later incarnation than the session's answered its start.
+    pub(super) is_elsewhere: bool,
     /// Orders with this id or a higher one were sent after the last change of `start` or `stop`.
     pub(super) first_later_order: OrderId,
     pub(super) checkpoint: Option<Checkpoint>,
@@ -83,6 +89,7 @@
             unanswered_starts: 0,
             unsent_starts: 0,
             loss_proposed_at: None,
+            is_elsewhere: false,
             first_later_order: OrderId(0),
             checkpoint: None,
         }
@@ -129,6 +136,8 @@
     pub(super) address: SocketAddr,
     /// When the upstream last sent a heartbeat or an answer.
     pub(super) last_contact: Time,
+    /// Whether it has sent any in this term.
+    pub(super) was_in_contact: bool,
     /// The last reading of its clock, and when it was read.
     clock: Option<(ClockReading, Time)>,
     /// The latest reading of its clock at which any lease of this term may end.
@@ -154,6 +163,11 @@
     unanswered_in_a_row: u32,
     /// When it left the first of them unanswered.
     unanswered_since: Option<Time>,
+    /// Whether it has listed its runs since it last left an order unanswered, which shows that this incarnation is still
+    /// running.
+    is_incarnation_confirmed: bool,
+    /// Since when it was silent when a later incarnation answered in its place.
+    ended_at: Option<Time>,
     /// When it was last recorded that this incarnation has crashed.
     crash_recorded_at: Option<Time>,
     /// No start or stop is sent before then.
@@ -187,6 +201,7 @@
             incarnation,
             address,
             last_contact: now,
+            was_in_contact: false,
             clock: None,
             lease_until: None,
             earlier_leases_until: now.after(on_slow_clock(lease_max)).after(LEASE_MARGIN),
@@ -200,6 +215,8 @@
             ends_proposed_at: None,
             unanswered_in_a_row: 0,
             unanswered_since: None,
+            is_incarnation_confirmed: true,
+            ended_at: None,
             crash_recorded_at: None,
             retry_at: Time(0),
             suspect_until: Time(0),
@@ -235,10 +252,20 @@
         self.leaves_at = self.leaves_at.max(leaves_at);
     }
 
+    /// Records a sign of life.
+    pub(super) const fn record_contact(&mut self, now: Time) {
+        self.last_contact = now;
+        self.was_in_contact = true;
+    }
+
     /// Since when this incarnation may have ended, if it has: the first order that it left unanswered, or else its
-    /// last sign of life.
-    pub(super) fn silent_since(&self) -> Time {
-        self.unanswered_since.unwrap_or(self.last_contact)
+    /// last sign of life. `None` if there was none in this term.
+    pub(super) fn silent_since(&self) -> Option<Time> {
+        // An order that timed out says nothing about the time before: it was sent soon after the last answer.
+        let is_cut = |at: &Time| at.since(self.last_contact) <= LISTING_WAIT;
+        let cut_at = self.unanswered_since.filter(is_cut);
+        let silent_since = || cut_at.unwrap_or(self.last_contact);
+        self.ended_at.or_else(|| self.was_in_contact.then(silent_since))
     }
 
     /// Records that this incarnation has crashed. Returns whether that is new, or may have been lost.
@@ -278,13 +305,26 @@
     ///
     /// Answers may arrive out of order, so only a reading that is ahead of the expected one is kept.
     pub(super) fn record_clock(&mut self, now: Time, reading: ClockReading) {
-        self.last_contact = now;
+        self.record_contact(now);
         let expected = self.clock_at(now);
         if expected.is_none_or(|expected| reading >= expected) {
             self.clock = Some((reading, now));
         }
     }
 
+    /// Records the clock reading in the answer to an order, unless a later incarnation answered in place of this one.
+    /// Returns whether this one did.
+    pub(super) fn record_answer_clock(&mut self, now: Time, reading: ClockReading) -> bool {
+        // Without a clock it is not known which incarnation answers, until that lists its runs or sends a heartbeat.
+        let Some(expected) = self.clock_at(now) else { return true };
+        if reading.0 + millis(ANSWER_DELAY_MAX) < expected.0 {
+            self.ended_at = self.ended_at.or_else(|| self.silent_since());
+            return false;
+        }
+        self.record_clock(now, reading);
+        true
+    }
+
     /// A lower bound of what its clock reads now.
     fn clock_at(&self, now: Time) -> Option<ClockReading> {
         let (reading, at) = self.clock?;
@@ -320,6 +360,7 @@
         let pause = RETRY_BACKOFF * 2_u32.saturating_pow(self.unanswered_in_a_row);
         self.unanswered_in_a_row += 1;
         self.unanswered_since.get_or_insert(now);
+        self.is_incarnation_confirmed = false;
         self.retry_at = now.after(pause.min(RETRY_BACKOFF_MAX));
         self.suspect_until = now.after(SUSPECT_FOR);
         self.listed_at = None;
@@ -330,6 +371,24 @@
         self.unanswered_in_a_row > 0
     }
 
+    /// Records that it listed its runs.
+    pub(super) fn record_listed(&mut self, now: Time) {
+        self.listed_at = Some(now);
+        self.is_incarnation_confirmed = true;
+    }
+
+    /// Handles a new leader's lack of knowledge: an upstream that was registered in an earlier term may have restarted.
+    pub(super) const fn await_initial_listing(&mut self) {
+        self.needs_initial_listing = true;
+        self.is_incarnation_confirmed = false;
+    }
+
+    /// Whether a start would reach this incarnation, as far as is known. A later one under the same name must not get the
+    /// orders of this one: what crashed this one could crash it too.
+    pub(super) const fn is_incarnation_confirmed(&self) -> bool {
+        self.is_incarnation_confirmed
+    }
+
     /// Records that it answered an order.
     pub(super) const fn record_answer(&mut self) {
         self.unanswered_in_a_row = 0;
@@ -358,6 +417,7 @@
     /// Whether a listing is needed to learn the state of runs.
     pub(super) fn needs_listing(&self) -> bool {
         self.runs.values().any(RunSession::may_exist)
+            || (!self.is_incarnation_confirmed && !self.runs.is_empty())
     }
 }
 
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -111,7 +111,7 @@
         for report in ledger.upstreams().values() {
             sessions.open(now, report, ledger);
             if let Some(session) = sessions.touched(&report.name) {
-                session.needs_initial_listing = true;
+                session.await_initial_listing();
             }
         }
         sessions
@@ -227,7 +227,7 @@
     ) {
         let known = self.sessions.get_mut(name);
         if let Some(session) = known.filter(|s| s.incarnation == incarnation) {
-            session.last_contact = now;
+            session.record_contact(now);
             if !session.has_clock() {
                 session.touch();
             }
@@ -243,7 +243,13 @@
     /// Records runs as lost that must have ended on upstreams that are unresponsive.
     ///
     /// A start of unknown outcome may still be carried out, so such runs are kept.
-    pub(crate) fn give_up_ended(&mut self, now: Time, ended: &[RunRef], work: &mut Work) {
+    pub(crate) fn give_up_ended(
+        &mut self,
+        now: Time,
+        ledger: &WorkflowLedger,
+        ended: &[RunRef],
+        work: &mut Work,
+    ) {
         let mut lost = Vec::new();
         for RunRef { upstream, task, run } in ended {
             let unresponsive = self.touched(upstream).filter(|session| session.is_unresponsive());
@@ -255,6 +261,7 @@
                 known.record_loss_proposal(now);
                 lost.push(LostRun { is_unconfirmed: true, ..known.lost(task, upstream) });
                 session.suspect_until = now.after(SUSPECT_FOR);
+                work.commands.extend(session.silenced(now, upstream, ledger, |t| t == task));
             }
         }
         if !lost.is_empty() {
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -56,6 +56,10 @@
     metrics::counter!("hg_workflow_upstream_crashes").increment(1);
 }
 
+pub(super) fn record_given_up() {
+    metrics::counter!("hg_workflow_given_up").increment(1);
+}
+
 pub(super) fn record_orders(orders: &[Order]) {
     for order in orders {
         let kind = match order.kind {
--- /dev/null
+++ b/crates/hg_control/tests/snapshot.rs
@@ -0,0 +1,108 @@
+//! Snapshots and log entries of earlier versions are still read, and earlier versions read those of this one.
+
+use hg_control::{decode_ledger, encode_ledger};
+use hg_ledger::{Command, ExposedRun, Ledger, WorkflowCommand};
+use hg_link::{VERSION, decode, encode};
+use hg_model::{
+    DataCentreName, Incarnation, JobId, PoolName, QueueName, QueueSpec, RackName, ResourceVector,
+    RunNumber, StepId, StepSpec, TaskId, Time, UpstreamName, UpstreamReport, WorkflowSpec,
+};
+
+fn name() -> UpstreamName {
+    UpstreamName::new("u0").expect("a good name")
+}
+
+fn task() -> TaskId {
+    let job = JobId::new("job").expect("a good name");
+    TaskId { step: StepId { job, occurrence: 0, step: 0 }, index: 0 }
+}
+
+/// A ledger with a run and, if wanted, the crash of its upstream.
+fn ledger(with_crash: bool) -> Ledger {
+    let mut ledger = Ledger::new();
+    let mut apply = |command| ledger.apply(Command::Workflow(command));
+    apply(WorkflowCommand::Register(UpstreamReport {
+        name: name(),
+        incarnation: Incarnation(1),
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        host: None,
+        pool: PoolName::new("pool").expect("a good name"),
+        data_centre: DataCentreName::new("north").expect("a good name"),
+        rack: RackName::new("r0").expect("a good name"),
+        labels: Vec::new(),
+        capacity: ResourceVector::new(8, 32_000, 131_072),
+        leaving: false,
+    }));
+    let queue = QueueSpec {
+        name: QueueName::new("queue").expect("a good name"),
+        host: "host".into(),
+        prefix: "/queue/".into(),
+        pool: PoolName::new("pool").expect("a good name"),
+        timeout_ms: 3_000,
+        objective_ms: 1_000,
+        stretch_milli: 3_000,
+        priority: 0,
+        attempts: 3,
+        allow_anonymous: true,
+        advice: None,
+    };
+    let at = Time(1_000);
+    apply(WorkflowCommand::Accept {
+        id: task().step.job,
+        spec: WorkflowSpec::new("work", vec![StepSpec::new(1, ResourceVector::new(1, 1, 1))]),
+        terms: hg_ledger::QueueTerms::of(&queue),
+        account: None,
+        at,
+    });
+    let (upstream, incarnation) = (name(), Incarnation(1));
+    let start = hg_ledger::RunStart { task: task(), run: RunNumber(1), upstream, incarnation };
+    apply(WorkflowCommand::Start { starts: vec![start], at });
+    if with_crash {
+        let run = ExposedRun { task: task(), run: RunNumber(1), since: at, is_confirmed: true };
+        apply(WorkflowCommand::UpstreamCrashed {
+            name: name(),
+            incarnation: Incarnation(1),
+            silent_since: Some(at),
+            runs: vec![run],
+            at,
+        });
+    }
+    ledger
+}
+
+#[test]
+fn decode_ledger_keeps_crashes() {
+    let ledger = ledger(true);
+    assert_eq!(ledger.workflows().crashes().of(&task()).len(), 1);
+    assert_eq!(decode_ledger(&encode_ledger(&ledger)).expect("readable"), ledger);
+}
+
+#[test]
+fn decode_ledger_reads_a_snapshot_without_crashes() {
+    let ledger = ledger(false);
+    assert_eq!(decode_ledger(&encode(&ledger)).expect("readable"), ledger);
+}
+
+#[test]
+fn earlier_version_reads_a_snapshot_with_crashes() {
+    let read: Ledger = decode(&encode_ledger(&ledger(true))).expect("readable");
+    assert_eq!(read, ledger(false));
+}
+
+#[test]
+fn decode_ledger_refuses_crashes_that_are_cut_short() {
+    let snapshot = encode_ledger(&ledger(true));
+    assert!(decode_ledger(&snapshot[..snapshot.len() - 1]).is_err());
+}
+
+/// Commands are encoded by their position in the enum, so new ones come last.
+#[test]
+fn encode_keeps_the_position_of_commands() {
+    let position = |command: &WorkflowCommand| encode(command)[..2].to_vec();
+    let (name, incarnation, at) = (name(), Incarnation(1), Time(0));
+    assert_eq!(position(&WorkflowCommand::Cancel { id: task().step.job, at }), [VERSION, 2]);
+    assert_eq!(position(&WorkflowCommand::Forget { before: at }), [VERSION, 11]);
+    let (silent_since, runs) = (None, Vec::new());
+    let crashed = WorkflowCommand::UpstreamCrashed { name, incarnation, silent_since, runs, at };
+    assert_eq!(position(&crashed), [VERSION, 12]);
+}
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -53,6 +53,7 @@
     world.stop_faults();
     let last_leases_ms = LAST_LEASES * world.lease_max_ms();
     world.run(last_leases_ms);
+    world.end_last_leases();
     let wasted = world.wasted();
     for number in JOBS..JOBS + LATE_JOBS {
         world.submit(number);
--- a/crates/hg_ledger/src/ledger.rs
+++ b/crates/hg_ledger/src/ledger.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Command, ENDED_MAX, ENDED_WITH_NOTES_MAX, Effect, EndedJob, FAILURES_MAX, Job, JobEvent,
-    ListConflict, OPERATIONS_MAX, Outcome, REFUSALS_MAX, WorkflowLedger,
+    Command, Crashes, ENDED_MAX, ENDED_WITH_NOTES_MAX, Effect, EndedJob, FAILURES_MAX, Job,
+    JobEvent, ListConflict, OPERATIONS_MAX, Outcome, REFUSALS_MAX, WorkflowLedger,
 };
 
 /// The result of applying one command of the log.
@@ -114,6 +114,11 @@
         Self::default()
     }
 
+    /// Restores the crashes of upstreams, which a snapshot keeps apart.
+    pub fn restore_crashes(&mut self, crashes: Crashes) {
+        self.workflows.restore_crashes(crashes);
+    }
+
     /// Applies one command of the log. A command that no longer applies changes nothing.
     pub fn apply(&mut self, command: Command) -> Applied {
         match command {
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -6,7 +6,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{QueueTerms, UpkeepStage};
+use super::{ExposedRun, QueueTerms, UpkeepStage};
 
 /// A decided start of a run. It is committed to the log before it is ordered at any upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -144,4 +144,35 @@
         /// The point in time.
         before: Time,
     },
+    /// Records that an incarnation of an upstream ended without notice, before it is replaced or removed.
+    UpstreamCrashed {
+        /// The upstream.
+        name: UpstreamName,
+        /// The incarnation that ended.
+        incarnation: Incarnation,
+        /// Since when it gave no sign of life; `None` if the leader had not been in contact with it.
+        silent_since: Option<Time>,
+        /// The runs that it may have had.
+        runs: Vec<ExposedRun>,
+        /// When it was decided or observed.
+        at: Time,
+    },
+    /// Records runs whose leases expired on a silent upstream, before they are recorded as lost: it may have crashed.
+    UpstreamSilenced {
+        /// The upstream.
+        name: UpstreamName,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// The runs.
+        runs: Vec<ExposedRun>,
+        /// When it was decided or observed.
+        at: Time,
+    },
+    /// Fails the workflow of a task that crashes its upstreams.
+    GiveUp {
+        /// The task.
+        task: TaskId,
+        /// When it was decided.
+        at: Time,
+    },
 }
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -9,9 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    EndedWorkflow, LostRun, Occupancy, Occurrence, OpenRun, QueueTerms, RunRef, RunStart,
-    SavedProgress, StepRecord, TaskState, Waves, Workflow, WorkflowCommand, WorkflowEffect,
-    WorkflowPhase,
+    Crashes, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun, QueueTerms,
+    RunRef, RunStart, SavedProgress, StepRecord, TaskState, Waves, Workflow, WorkflowCommand,
+    WorkflowEffect, WorkflowPhase,
 };
 
 /// Catalog, registered upstreams, workflows, open runs and maintenance waves.
@@ -24,8 +24,14 @@
     pub(super) ended_order: VecDeque<JobId>,
     pub(super) occupancy: Occupancy,
     waves: Waves,
+    /// Kept apart in snapshots, so that those of versions without it can still be read.
+    #[serde(skip)]
+    pub(super) crashes: Crashes,
 }
 
+/// Fewer crashes of upstreams under a task never fail its workflow.
+const CRASHES_MIN: usize = 2;
+
 /// Queries.
 impl WorkflowLedger {
     /// The catalog in force.
@@ -82,6 +88,11 @@
         &self.waves
     }
 
+    /// The crashes that tasks and upstreams have gone through.
+    pub const fn crashes(&self) -> &Crashes {
+        &self.crashes
+    }
+
     /// When the oldest retained workflow in its final state ended; `None` if none is retained.
     pub fn oldest_end_time(&self) -> Option<Time> {
         self.ended.get(self.ended_order.front()?).map(|ended| ended.at)
@@ -135,10 +146,50 @@
                 effects.push(WorkflowEffect::Wave(wave));
             }
             WorkflowCommand::Forget { before } => self.forget(before),
+            WorkflowCommand::UpstreamCrashed { name, incarnation, silent_since, runs, at } => {
+                self.crash_upstream(name, incarnation, silent_since, runs, at);
+            }
+            WorkflowCommand::UpstreamSilenced { name, incarnation, mut runs, at } => {
+                runs.retain(|run| self.is_unfinished(&run.task));
+                self.crashes.record_silenced(name, incarnation, runs, at);
+            }
+            WorkflowCommand::GiveUp { task, at } => {
+                if self.crashes.of(&task).len() >= CRASHES_MIN {
+                    self.crashes.record_given_up(&task);
+                    self.end_early(&task.step.job, WorkflowState::Failed, at, &mut effects);
+                }
+            }
         }
         effects
     }
 
+    /// Restores the crashes that a snapshot keeps apart.
+    pub(crate) fn restore_crashes(&mut self, crashes: Crashes) {
+        self.crashes = crashes;
+    }
+
+    fn crash_upstream(
+        &mut self,
+        name: UpstreamName,
+        incarnation: Incarnation,
+        silent_since: Option<Time>,
+        mut runs: Vec<ExposedRun>,
+        at: Time,
+    ) {
+        let silenced = self.crashes.take_silenced(&name, incarnation, silent_since);
+        let known: BTreeSet<TaskId> = runs.iter().map(|run| run.task.clone()).collect();
+        runs.extend(silenced.into_iter().filter(|run| !known.contains(&run.task)));
+        runs.retain(|run| self.is_unfinished(&run.task));
+        self.crashes.record(name, incarnation, silent_since, runs, at);
+    }
+
+    /// Whether a task belongs to a workflow that may still start it.
+    fn is_unfinished(&self, task: &TaskId) -> bool {
+        let record = self.step_record(&task.step).and_then(|r| at_index(&r.tasks, task.index));
+        let is_active = self.jobs.get(&task.step.job).is_some_and(Workflow::is_active);
+        is_active && record.is_some_and(|record| !record.is_done())
+    }
+
     fn put_catalog(&mut self, catalog: Catalog, effects: &mut Vec<WorkflowEffect>) {
         if self.catalog.as_ref().is_none_or(|current| current.version < catalog.version) {
             self.catalog = Some(catalog);
@@ -280,7 +331,9 @@
             self.lose_run(run, at, effects);
         }
         self.forget_unconfirmed_at(name);
-        self.upstreams.remove(name);
+        if self.upstreams.remove(name).is_some_and(|known| known.leaving) {
+            self.crashes.forget_silenced(name, incarnation);
+        }
         effects.push(WorkflowEffect::Deregistered(name.clone()));
     }
 
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -11,7 +11,7 @@
 mod waves;
 
 pub use command::{LostRun, RunStart, SavedProgress, WorkflowCommand};
-pub use crash::ExposedRun;
+pub use crash::{Crashes, ExposedRun, TaskCrash, UpstreamCrash};
 pub use effect::{RunRef, WorkflowEffect};
 pub use ledger::WorkflowLedger;
 pub use occupancy::{Occupancy, OpenRun};
--- a/crates/hg_ledger/src/workflow/run_end.rs
+++ b/crates/hg_ledger/src/workflow/run_end.rs
@@ -24,6 +24,7 @@
         at: Time,
         effects: &mut Vec<WorkflowEffect>,
     ) {
+        self.crashes.forget_silenced(upstream, incarnation);
         if self.confirm_end(upstream, end) {
             self.advance_workflow(&end.task.step, at, effects);
             return;
@@ -34,6 +35,9 @@
         if open.is_none_or(|open| open.run != end.run || open.incarnation > incarnation) {
             return;
         }
+        if let Some(open) = open {
+            self.crashes.record_end(&end.task, at.since(open.since));
+        }
         let run_ref = RunRef { upstream: upstream.clone(), task: end.task.clone(), run: end.run };
         self.close_run(&run_ref, end.kind, end.checkpoint.as_ref(), effects);
         self.advance_workflow(&end.task.step, at, effects);
@@ -119,6 +123,7 @@
         } else if !task.is_done() {
             task.state = TaskState::Done;
             record.done += 1;
+            self.crashes.clear_task(&at.task);
         }
         if gang && kind == EndKind::Done {
             self.finish_gang(&at.task, at.run, effects);
@@ -145,6 +150,7 @@
             task.state = TaskState::Done;
             record.done += 1;
         }
+        self.crashes.clear_step(&first.step);
     }
 
     /// Updates a workflow after a run of one of its steps has ended: it may fail, finish an
@@ -201,6 +207,7 @@
         effects: &mut Vec<WorkflowEffect>,
     ) {
         self.jobs.remove(&id);
+        self.crashes.forget_job(&id);
         self.ended.insert(id.clone(), EndedWorkflow { state, at });
         self.ended_order.push_back(id.clone());
         while self.ended_order.len() > ENDED_MAX {
--- a/crates/hg_link/src/codec.rs
+++ b/crates/hg_link/src/codec.rs
@@ -25,9 +25,18 @@
 ///
 /// [`LinkCause`] if the frame is empty, has another protocol version or is malformed.
 pub fn decode<T: DeserializeOwned>(frame: &[u8]) -> Result<T, LinkCause> {
+    Ok(decode_prefix(frame)?.0)
+}
+
+/// Decodes a message from the beginning of some bytes. Returns it with the bytes that follow it.
+///
+/// # Errors
+///
+/// As for [`decode`].
+pub fn decode_prefix<T: DeserializeOwned>(frame: &[u8]) -> Result<(T, &[u8]), LinkCause> {
     let (version, content) = frame.split_first().ok_or(LinkCause::Size)?;
     if *version != VERSION {
         return Err(LinkCause::Version(*version));
     }
-    Ok(postcard::from_bytes(content)?)
+    Ok(postcard::take_from_bytes(content)?)
 }
--- a/crates/hg_link/src/lib.rs
+++ b/crates/hg_link/src/lib.rs
@@ -22,7 +22,7 @@
 mod view;
 mod workflow;
 
-pub use codec::{FRAME_MAX_BYTES, VERSION, decode, encode};
+pub use codec::{FRAME_MAX_BYTES, VERSION, decode, decode_prefix, encode};
 pub use control_client::{ControlClient, ControlError};
 pub use directive::{AttemptMember, AttemptOrder, AttemptPhase, Directive};
 pub use endpoint::{LinkEndpoint, PendingLink, SetupError};
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -15,6 +15,8 @@
 //! * `preemption` finds the cheapest work to stop for an urgent step (load: a full pool).
 //! * `evacuation` moves work off upstreams that are about to leave (load: a pool that is rolled).
 //! * `speed_tracker` detects upstreams that are slow or stalled (load: workers that slow down).
+//! * `crash_guard` and `isolation` decide which tasks are suspected of crashing their upstreams, where
+//!   they start and which are given up (load: a task that crashes each upstream that starts it).
 //! * `pace_controller` slows best-effort work (load: best-effort work that disturbs tasks that
 //!   serve users).
 //! * `ticket_cache` holds the tickets of the service that decides where steps may run, and chooses
@@ -30,11 +32,13 @@
 mod availability;
 mod bounds;
 mod capacity_map;
+mod crash_guard;
 mod evacuation;
 mod fleet_observations;
 mod guarantee;
 mod headroom;
 mod holds;
+mod isolation;
 mod pace_controller;
 mod placement;
 mod preemption;
--- a/crates/hg_policy/src/workflow/ready_steps.rs
+++ b/crates/hg_policy/src/workflow/ready_steps.rs
@@ -4,7 +4,7 @@
 //! is served before work that can only be late, and that before work that is too late to be of
 //! value.
 
-use std::cmp::Reverse;
+use std::cmp::{Ordering, Reverse};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -36,7 +36,7 @@
 }
 
 /// A step with tasks that may start now.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct ReadyStep<'a> {
     pub(crate) id: StepId,
     pub(crate) job: &'a Workflow,
@@ -58,6 +58,12 @@
         self.job.terms.priority == 0
     }
 
+    /// The order in which steps are served.
+    pub(crate) fn order(&self, other: &Self) -> Ordering {
+        let key = |step: &Self| (step.rank, Reverse(step.spec.tasks));
+        key(self).cmp(&key(other)).then_with(|| self.id.cmp(&other.id))
+    }
+
     /// Whether its job is too late to be of value.
     pub(crate) fn is_overdue(&self) -> bool {
         self.rank.outlook == Outlook::Overdue
@@ -91,9 +97,7 @@
             collect_ready(now, id, job, covered.contains(id), &mut ready);
         }
     }
-    ready.sort_by(|a, b| {
-        (a.rank, Reverse(a.spec.tasks), &a.id).cmp(&(b.rank, Reverse(b.spec.tasks), &b.id))
-    });
+    ready.sort_by(ReadyStep::order);
     ready
 }
 
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -9,10 +9,12 @@
 use hg_model::{EndKind, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
 
 use super::capacity_map::CapacityMap;
+use super::crash_guard::CrashGuard;
 use super::evacuation::evacuations;
 use super::guarantee::covered_jobs;
 use super::headroom::Headroom;
 use super::holds::Holds;
+use super::isolation::{Isolation, Suspects, take_suspects};
 use super::pace_controller::PaceController;
 use super::placement::place;
 use super::preemption::{PreemptionContext, PreemptionPlan, plan_preemption};
@@ -71,6 +73,8 @@
     pub starts: Vec<RunStart>,
     /// Runs to stop.
     pub stops: Vec<RunStop>,
+    /// Tasks that crash their upstreams; their workflows are to fail.
+    pub given_up: Vec<TaskId>,
     /// Hosts that may go down for upkeep.
     pub upkeeps: Vec<UpkeepOrder>,
     /// Hosts that are to change their pool.
@@ -225,9 +229,12 @@
         let mut round = Round { now, ledger, covered, runs, drains, capacity, decisions };
         self.decide_stops(&mut round, fleet);
         round.runs.record_stops(self.stopping.iter());
-        let ready = self.ready(&round);
+        let mut ready = self.ready(&round);
+        let guard = CrashGuard::new(now, ledger);
+        let suspects = take_suspects(&guard, ledger, &mut ready);
         self.holds.drop_expired(now, &ready, &round.capacity);
         self.holds.apply_to(&mut round.capacity);
+        start_suspects(guard, suspects, &mut ready, &mut round);
         self.headroom.reserve(now, &round.runs, &mut round.capacity);
         let mut unplaced = Vec::new();
         for step in &ready {
@@ -276,8 +283,12 @@
         for run in round.runs.unneeded(ledger) {
             self.stop(run, StopReason::NoLongerNeeded, round);
         }
+        // A suspect of a crash shows only to its end whether it is the cause.
+        let isolated = CrashGuard::new(now, ledger).isolated();
         for run in self.speeds.stragglers(now, ledger) {
-            self.stop(run, StopReason::Straggler, round);
+            if !isolated.contains(&run.upstream) {
+                self.stop(run, StopReason::Straggler, round);
+            }
         }
         for run in evacuations(now, ledger, fleet, &self.speeds, self.bounds.stop_lead_time()) {
             self.stop(run, StopReason::Evacuated, round);
@@ -360,6 +371,40 @@
     }
 }
 
+/// Starts the suspects of crashes apart from everything else, and keeps other work off their upstreams.
+fn start_suspects<'a>(
+    guard: CrashGuard<'a>,
+    suspects: Suspects<'a>,
+    ready: &mut Vec<ReadyStep<'a>>,
+    round: &mut Round<'a>,
+) {
+    if guard.is_idle() {
+        return;
+    }
+    let mut isolation = Isolation::new(round.now, round.ledger, guard, &round.capacity);
+    round.capacity.exclude(guard.isolated().into_iter());
+    let mut overdue = Vec::new();
+    for (step, wait_until) in suspects.steps {
+        let placed = isolation.place(&step, wait_until, &mut round.capacity);
+        start(&step, &placed, round);
+        if step.spec.gang && placed.is_empty() && round.now >= wait_until {
+            overdue.push(step);
+        }
+    }
+    // A gang that finds no room apart from others has to compete for it with reservations and stops.
+    ready.extend(overdue);
+    ready.sort_by(ReadyStep::order);
+    ready.retain(|step| {
+        let is_doubtful = suspects.doubtful.contains(&step.id);
+        let placed = is_doubtful.then(|| isolation.place_doubtful(step, &round.capacity)).flatten();
+        if let Some(placed) = &placed {
+            start(step, placed, round);
+        }
+        placed.is_none()
+    });
+    round.decisions.given_up = suspects.guilty;
+}
+
 fn start(step: &ReadyStep<'_>, placed: &BTreeMap<u32, UpstreamName>, round: &mut Round<'_>) {
     let claim = step.spec.claim();
     for (index, upstream) in placed {
--- a/crates/hg_policy/tests/workflow/main.rs
+++ b/crates/hg_policy/tests/workflow/main.rs
@@ -1,5 +1,6 @@
 //! Decisions about workflows; each test replays one load pattern.
 
+mod crashes;
 mod harness;
 mod starts_and_stops;
 mod upkeep_advice_pace;
