hg_policy: what runs use beyond a capacity that has shrunk is made up for before anything counts as free

Callers saw: an urgent task that waited on an upstream whose capacity had shrunk, while the runs stopped for it were thrown away. Cause: free capacity ends at zero, so that each stop seemed to free all that its run had claimed, although the rest still exceeded the capacity; the resources were held, never became free, and the plan was made again after the hold had timed out. Reservations of gangs counted in the same way. The excess is known for each upstream now, and what ends pays it off first.

--- a/crates/hg_policy/src/workflow/capacity_map.rs
+++ b/crates/hg_policy/src/workflow/capacity_map.rs
@@ -15,6 +15,8 @@
     pub(crate) report: &'a UpstreamReport,
     /// The capacity that no open run uses.
     pub(crate) free: ResourceVector,
+    /// What the open runs use beyond the capacity, after that has shrunk.
+    pub(crate) excess: ResourceVector,
     /// What is held for steps whose resources are still being cleared; it may exceed what is free
     /// now.
     pub(crate) held: ResourceVector,
@@ -29,6 +31,14 @@
     is_excluded: bool,
 }
 
+/// Returns what becomes free when a run ends that claims `freed`; `excess` is what runs use beyond the capacity, which is
+/// made up for first.
+pub(crate) const fn release(excess: &mut ResourceVector, freed: &ResourceVector) -> ResourceVector {
+    let free = freed.minus(excess);
+    *excess = excess.minus(freed);
+    free
+}
+
 impl Candidate<'_> {
     /// What may be allocated: free and not held.
     pub(crate) const fn available(&self) -> ResourceVector {
@@ -61,11 +71,12 @@
     pub(crate) fn new(ledger: &'a WorkflowLedger, fleet: &FleetObservations) -> Self {
         let usable = |report: &&UpstreamReport| fleet.is_usable(report);
         let candidate = |report: &'a UpstreamReport| {
-            let free = report.capacity.minus(&ledger.occupancy().used(&report.name));
+            let used = ledger.occupancy().used(&report.name);
+            let (free, excess) = (report.capacity.minus(&used), used.minus(&report.capacity));
             let held = ResourceVector::default();
             let (slower, urgent_only, reservation) = (false, false, None);
             let is_excluded = false;
-            Candidate { report, free, held, slower, urgent_only, reservation, is_excluded }
+            Candidate { report, free, excess, held, slower, urgent_only, reservation, is_excluded }
         };
         let mut candidates: Vec<Candidate<'a>> =
             ledger.upstreams().values().filter(usable).map(candidate).collect();
--- a/crates/hg_policy/src/workflow/preemption.rs
+++ b/crates/hg_policy/src/workflow/preemption.rs
@@ -13,7 +13,7 @@
 use hg_model::{JobId, ResourceVector, StepId, Time, UpstreamName};
 
 use super::WorkflowBounds;
-use super::capacity_map::{Candidate, CapacityMap, Position};
+use super::capacity_map::{Candidate, CapacityMap, Position, release};
 use super::placement::{Scope, is_below_upstream_limit, running_counts, scopes};
 use super::ready_steps::ReadyStep;
 use super::run_table::{RunRow, RunTable};
@@ -154,6 +154,8 @@
     candidate: &'b Candidate<'a>,
     /// What is free, given the tasks placed and the victims chosen so far.
     free: ResourceVector,
+    /// What the remaining runs use beyond the capacity.
+    excess: ResourceVector,
     /// The victims with runs here, the cheapest first.
     victims: Vec<usize>,
     /// The cheapest way to place the next task here, if there is any.
@@ -188,7 +190,8 @@
         let member = |position: &Position| {
             let candidate = capacity.at(*position);
             let victims = victims.on(&candidate.report.name, runs);
-            Member { candidate, free: candidate.free, victims, option: None }
+            let Candidate { free, excess, .. } = *candidate;
+            Member { candidate, free, excess, victims, option: None }
         };
         let members: Vec<Member<'a, 'b>> = scope.members.iter().map(member).collect();
         let names = members.iter().enumerate();
@@ -256,7 +259,7 @@
             let row = &self.runs.rows()[*row];
             if let Some(number) = self.positions.get(row.upstream).copied() {
                 let member = &mut self.members[number];
-                member.free = member.free.plus(&row.open.claim);
+                member.free = member.free.plus(&release(&mut member.excess, &row.open.claim));
                 changed.insert(number);
             }
         }
@@ -272,7 +275,7 @@
         let held = &member.candidate.held;
         let available = member.free.minus(held).accelerators;
         let mut cost = if member.candidate.slower { self.slower_cost } else { 0 };
-        let mut free = member.free;
+        let (mut free, mut excess) = (member.free, member.excess);
         let mut victims = Vec::new();
         if self.claim.fits(&free.minus(held)) {
             return Some(Eviction { victims, cost, available });
@@ -281,7 +284,7 @@
             let victim = &self.victims.victims[*number];
             let rows = victim.rows.iter().map(|row| &self.runs.rows()[*row]);
             for row in rows.filter(|row| row.upstream == &member.candidate.report.name) {
-                free = free.plus(&row.open.claim);
+                free = free.plus(&release(&mut excess, &row.open.claim));
             }
             cost += victim.cost;
             victims.push(*number);
--- a/crates/hg_policy/src/workflow/reservation.rs
+++ b/crates/hg_policy/src/workflow/reservation.rs
@@ -11,7 +11,7 @@
 use hg_ledger::WorkflowLedger;
 use hg_model::{PoolName, ResourceVector, Time, UpstreamName};
 
-use super::capacity_map::{Candidate, CapacityMap, Position};
+use super::capacity_map::{Candidate, CapacityMap, Position, release};
 use super::placement::{Scope, scopes};
 use super::ready_steps::ReadyStep;
 use super::speed_tracker::SpeedTracker;
@@ -158,10 +158,11 @@
     let taken = candidate.reservation.map_or_else(ResourceVector::default, |earlier| earlier.claim);
     let members_max = step.spec.per_upstream_max.unwrap_or(u32::MAX).min(step.spec.tasks);
     let mut free = candidate.available();
+    let mut excess = candidate.excess;
     let mut times = Vec::new();
     for (at, freed) in std::iter::once((now, ResourceVector::default())).chain(ends.iter().copied())
     {
-        free = free.plus(&freed);
+        free = free.plus(&release(&mut excess, &freed));
         let fits = free.minus(&taken).count_of(&claim, members_max);
         while times.len() < usize::try_from(fits).unwrap_or(usize::MAX) {
             times.push(at);
--- a/crates/hg_policy/tests/workflow/harness.rs
+++ b/crates/hg_policy/tests/workflow/harness.rs
@@ -140,6 +140,12 @@
         self.apply(command);
     }
 
+    /// Changes the capacity that an upstream reports.
+    pub fn set_capacity(&mut self, number: u32, capacity: ResourceVector) {
+        let known = self.ledger.upstreams()[&upstream(number)].clone();
+        self.apply(WorkflowCommand::Register(UpstreamReport { capacity, ..known }));
+    }
+
     pub fn state(&self, name: &str) -> Option<WorkflowState> {
         self.ledger.state(&job(name))
     }
--- a/crates/hg_policy/tests/workflow/main.rs
+++ b/crates/hg_policy/tests/workflow/main.rs
@@ -1,5 +1,6 @@
 //! Decisions about workflows; each test replays one load pattern.
 
+mod capacity_changes;
 mod crashes;
 mod harness;
 mod starts_and_stops;
