hg_control: a late heartbeat, or none, lets no start exceed a capacity that has shrunk

Callers saw: on upstreams that start whatever they are asked to, more than their capacity. Causes: a heartbeat that had been on its way for seconds registered the larger capacity of before again, until the next one; and an upstream that shrank while it was cut off was given work as soon as it listed its runs, before any heartbeat told its capacity. A heartbeat counts as late by the upstream's own clock, against its last one and against what its clock must read now; of a late one only the announcement that the upstream leaves is kept.

--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -76,9 +76,9 @@
 
     /// How many upstreams get no new work now; 0 unless this replica leads.
     pub(crate) fn excluded_count(&self, now: Time) -> usize {
-        self.workflow_leadership
-            .as_ref()
-            .map_or(0, |leadership| leadership.sessions.fleet(now).excluded.len())
+        self.workflow_leadership.as_ref().map_or(0, |leadership| {
+            leadership.sessions.fleet(now, self.ledger.workflows()).excluded.len()
+        })
     }
 
     /// One round: sends due orders and calls, then takes new decisions and cleans up.
@@ -155,7 +155,7 @@
         leadership.changed = false;
         leadership.decided_at = now;
         let ledger = self.ledger.workflows();
-        let mut fleet = leadership.sessions.fleet(now);
+        let mut fleet = leadership.sessions.fleet(now, ledger);
         let quarantined =
             ledger.upstreams().keys().filter(|name| leadership.scheduler.is_quarantined(now, name));
         fleet.excluded.extend(quarantined.cloned());
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -222,9 +222,14 @@
         if leadership.sessions.has_departed(&name, incarnation) {
             return Some(WorkflowReply::Noted);
         }
-        leadership.sessions.record_heartbeat(now, &name, incarnation, readings);
+        let is_latest = leadership.sessions.record_heartbeat(now, &name, incarnation, readings);
         let workflows = self.ledger.workflows();
         let known = workflows.upstreams().get(&name);
+        let report = match known.filter(|known| !is_latest && known.incarnation == incarnation) {
+            // What a late heartbeat says does not hold any more, except that the upstream leaves.
+            Some(known) => UpstreamReport { leaving: report.leaving, ..known.clone() },
+            None => report,
+        };
         let report = report.inherit_leaving(known);
         if known.is_some_and(|known| *known == report || known.incarnation > incarnation) {
             return Some(WorkflowReply::Noted);
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -25,6 +25,9 @@
 /// An answer whose clock reading is older than this comes from a later incarnation, whose clock has started anew. Orders
 /// other than listings time out sooner.
 const ANSWER_DELAY_MAX: Duration = Duration::from_millis(700);
+/// A heartbeat whose clock reading is older than this is late; upstreams send another one after a second without an
+/// answer.
+const HEARTBEAT_DELAY_MAX: Duration = Duration::from_millis(1_000);
 /// How long after a listing its ends may be acknowledged: less than a host takes to restart.
 const LISTING_VALID_FOR: Duration = Duration::from_millis(1_000);
 /// The longest time between two visits of a session: what expires, such as leases and proposals, is noticed with
@@ -155,6 +158,10 @@
     pub(super) acknowledged_upto: u64,
     /// Ends up to this number are acknowledged by the renewal in flight.
     pub(super) acknowledging_upto: u64,
+    /// The clock reading of its last heartbeat.
+    heartbeat_clock: Option<ClockReading>,
+    /// When its last heartbeat of this term arrived.
+    heartbeat_at: Option<Time>,
     /// When it last listed its runs, which shows that this incarnation is still running.
     pub(super) listed_at: Option<Time>,
     /// When ends were proposed that are not in the log yet.
@@ -211,6 +218,8 @@
             recorded_upto: 0,
             acknowledged_upto: 0,
             acknowledging_upto: 0,
+            heartbeat_clock: None,
+            heartbeat_at: None,
             listed_at: None,
             ends_proposed_at: None,
             unanswered_in_a_row: 0,
@@ -325,6 +334,28 @@
         true
     }
 
+    /// Records a heartbeat. Returns whether it is the latest: one that was on its way for long says what held then.
+    pub(super) fn record_heartbeat(&mut self, now: Time, reading: Option<ClockReading>) -> bool {
+        let Some(reading) = reading else {
+            self.record_contact(now);
+            self.heartbeat_at = Some(now);
+            return true;
+        };
+        let is_late = |expected: ClockReading| reading.0 + millis(HEARTBEAT_DELAY_MAX) < expected.0;
+        if self.heartbeat_clock > Some(reading) || self.clock_at(now).is_some_and(is_late) {
+            return false;
+        }
+        self.heartbeat_clock = Some(reading);
+        self.heartbeat_at = Some(now);
+        self.record_clock(now, reading);
+        true
+    }
+
+    /// Whether a heartbeat of this term arrived within a time.
+    pub(super) fn has_heartbeat(&self, now: Time, within: Duration) -> bool {
+        self.heartbeat_at.is_some_and(|at| now < at.after(within))
+    }
+
     /// A lower bound of what its clock reads now.
     fn clock_at(&self, now: Time) -> Option<ClockReading> {
         let (reading, at) = self.clock?;
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -49,13 +49,15 @@
 /// Queries.
 impl Sessions {
     /// The observations of the upstreams on which scheduling decisions depend.
-    pub(crate) fn fleet(&self, now: Time) -> FleetObservations {
-        let is_excluded = |session: &Session| {
+    pub(crate) fn fleet(&self, now: Time, ledger: &WorkflowLedger) -> FleetObservations {
+        let silence_max = self.bounds.unresponsive_after();
+        let is_excluded = |name: &UpstreamName, session: &Session| {
             now < session.suspect_until
-                || now >= session.last_contact.after(self.bounds.unresponsive_after())
+                || now >= session.last_contact.after(silence_max)
                 || !session.has_clock()
+                || (!enforces_capacity(ledger, name) && !session.has_heartbeat(now, silence_max))
         };
-        let excluded = self.sessions.iter().filter(|(_, s)| is_excluded(s));
+        let excluded = self.sessions.iter().filter(|(name, s)| is_excluded(name, s));
         let leaving = self.sessions.iter().filter_map(|(n, s)| Some((n.clone(), s.leaves_at?)));
         FleetObservations {
             excluded: excluded.map(|(name, _)| name.clone()).collect(),
@@ -130,7 +132,7 @@
         if let Some((incarnation, clock, at)) = self.early_clocks.remove(&report.name)
             && incarnation == report.incarnation
         {
-            session.record_clock(at, clock);
+            session.record_heartbeat(at, Some(clock));
         }
         for (task, open) in ledger.occupancy().runs(&report.name) {
             let mut run = recover_run(open, report.incarnation);
@@ -217,27 +219,29 @@
         }
     }
 
-    /// Records an upstream's heartbeat.
+    /// Records an upstream's heartbeat. Returns whether it is the latest of its incarnation.
     pub(crate) fn record_heartbeat(
         &mut self,
         now: Time,
         name: &UpstreamName,
         incarnation: Incarnation,
         readings: HeartbeatReadings,
-    ) {
+    ) -> bool {
         let known = self.sessions.get_mut(name);
         if let Some(session) = known.filter(|s| s.incarnation == incarnation) {
-            session.record_contact(now);
             if !session.has_clock() {
                 session.touch();
             }
-            if let Some(clock) = readings.clock {
-                session.record_clock(now, clock);
+            let is_latest = session.record_heartbeat(now, readings.clock);
+            if is_latest {
+                session.record_stay(now, readings.min_remaining_ms);
             }
-            session.record_stay(now, readings.min_remaining_ms);
-        } else if let Some(clock) = readings.clock {
+            return is_latest;
+        }
+        if let Some(clock) = readings.clock {
             self.early_clocks.insert(name.clone(), (incarnation, clock, now));
         }
+        true
     }
 
     /// Records runs as lost that must have ended on upstreams that are unresponsive.
@@ -345,6 +349,14 @@
     }
 }
 
+/// Whether an upstream refuses what exceeds its capacity. Otherwise its last heartbeat, which tells its capacity, must not be
+/// old.
+fn enforces_capacity(ledger: &WorkflowLedger, upstream: &UpstreamName) -> bool {
+    let pool = ledger.upstreams().get(upstream).map(|report| &report.pool);
+    let pool = pool.and_then(|pool| ledger.catalog()?.pool(pool));
+    pool.is_none_or(|pool| pool.enforces_capacity)
+}
+
 fn recover_run(open: &OpenRun, incarnation: Incarnation) -> RunSession {
     let mut run = RunSession::recovered(open.run);
     if open.incarnation != incarnation {
--- a/crates/hg_control/tests/crashing_tasks/mod.rs
+++ b/crates/hg_control/tests/crashing_tasks/mod.rs
@@ -109,13 +109,42 @@
     run_seeds(Faults { outages: 400, power_losses: 100, leader_changes: 50, ..Faults::default() });
 }
 
-#[test]
-fn no_start_exceeds_a_capacity_that_has_shrunk() {
+/// Plays changes of capacity on upstreams that start whatever they are asked to.
+fn play_capacity_changes(faults: Faults) {
     for seed in 0..SEEDS {
-        let faults = Faults { capacity_changes: 500, leader_changes: 50, ..Faults::default() };
         let mut world = World::with_bounds(seed, faults, WorkflowBounds::default());
         world.stop_enforcing_capacity();
         eprintln!("seed {seed}");
         crate::play(world);
     }
 }
+
+#[test]
+fn no_start_exceeds_a_capacity_that_has_shrunk() {
+    play_capacity_changes(Faults {
+        capacity_changes: 500,
+        leader_changes: 50,
+        ..Faults::default()
+    });
+}
+
+#[test]
+fn late_heartbeat_restores_no_capacity_that_has_shrunk() {
+    play_capacity_changes(Faults {
+        capacity_changes: 700,
+        late_heartbeats: 300,
+        ..Faults::default()
+    });
+}
+
+#[test]
+fn start_that_was_delayed_does_not_exceed_a_capacity_that_has_shrunk() {
+    play_capacity_changes(Faults {
+        capacity_changes: 700,
+        unsent_orders: 300,
+        disconnects: 200,
+        leader_changes: 200,
+        lost_orders: 50,
+        ..Faults::default()
+    });
+}
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -13,9 +13,10 @@
     CallerAction, CallerRequest, Reply, Request, WorkflowReply, WorkflowRequest, encode,
 };
 use hg_model::{
-    Catalog, DataCentreName, EndKind, HeartbeatReadings, HostName, Incarnation, JobId, Label,
-    PoolName, PoolSpec, QueueName, QueueSpec, RackName, ResourceVector, RunNumber, StepId,
-    StepSpec, TaskId, Term, Time, UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
+    Catalog, ClockReading, DataCentreName, EndKind, HeartbeatReadings, HostName, Incarnation,
+    JobId, Label, PoolName, PoolSpec, QueueName, QueueSpec, RackName, ResourceVector, RunNumber,
+    StepId, StepSpec, TaskId, Term, Time, UpstreamName, UpstreamReport, WorkflowSpec,
+    WorkflowState,
 };
 use hg_policy::{PolicyConfig, WorkflowBounds};
 use hg_replica::{Body, Configuration, Index, Message, Peer, ReplicaId, Snapshot, Storage, Timing};
@@ -73,10 +74,14 @@
     pub power_losses: u32,
     /// Chance each second that the capacity of one upstream shrinks, or is restored.
     pub capacity_changes: u32,
+    /// Heartbeats that arrive a second time, seconds later.
+    pub late_heartbeats: u32,
 }
 
 /// How long after its start a deadly task crashes its upstream, in milliseconds.
 const DEADLY_AFTER_MS: Range<u64> = 0..400;
+/// How long a late heartbeat is on its way, in milliseconds.
+const HEARTBEAT_DELAY_MS: Range<u64> = 1_600..6_000;
 /// How long an upstream is down after a crash, in milliseconds.
 const DOWN_MS: Range<u64> = 1_000..4_000;
 /// How long the leader may start work in capacity that an upstream no longer has, beyond a heartbeat, in
@@ -123,6 +128,8 @@
     down: BTreeMap<UpstreamName, u64>,
     /// Crashes that tasks are about to cause, by time.
     doomed: Vec<(u64, UpstreamName, TaskId, RunNumber)>,
+    /// Heartbeats that are still on their way, by the time of their arrival.
+    late_heartbeats: BTreeMap<u64, Vec<(UpstreamReport, ClockReading)>>,
     /// Whether upstreams refuse starts that exceed their capacity.
     enforces_capacity: bool,
     /// How long runs take, in milliseconds.
@@ -177,6 +184,7 @@
             unreachable: BTreeSet::new(),
             down: BTreeMap::new(),
             doomed: Vec::new(),
+            late_heartbeats: BTreeMap::new(),
             enforces_capacity: true,
             run_ms: 200..3_000,
             step_time: Duration::ZERO,
@@ -187,7 +195,7 @@
             world.start_upstream(&name(number));
         }
         world.run(4_000);
-        world.request(None, WorkflowRequest::PutCatalog(catalog()));
+        world.request(None, WorkflowRequest::PutCatalog(world.catalog()));
         world.run(500);
         world
     }
@@ -301,6 +309,7 @@
     /// Makes the upstreams start whatever they are asked to, whether they have the capacity or not.
     pub fn stop_enforcing_capacity(&mut self) {
         self.enforces_capacity = false;
+        self.request(None, WorkflowRequest::PutCatalog(self.catalog()));
         for upstream in self.upstreams.values_mut() {
             upstream.enforces_capacity = false;
         }
@@ -314,6 +323,7 @@
             self.oracle.shrunk(&upstream.name, until);
         }
         upstream.capacity = capacity;
+        trace(self.now, &format!("u{number} has {capacity}"));
     }
 
     /// Starts a new leader, which knows only what is in the log.
@@ -376,6 +386,10 @@
         }
     }
 
+    fn catalog(&self) -> Catalog {
+        catalog(self.enforces_capacity)
+    }
+
     fn heartbeat_ms(&self) -> u64 {
         u64::try_from(self.bounds.heartbeat.as_millis()).expect("a bound")
     }
@@ -406,7 +420,7 @@
     /// Requests the state of every workflow, and checks what the leader reports.
     pub fn poll_states(&mut self) {
         // The operator sends the catalog until it is acknowledged; the request is idempotent.
-        self.request(None, WorkflowRequest::PutCatalog(catalog()));
+        self.request(None, WorkflowRequest::PutCatalog(self.catalog()));
         let ids: Vec<JobId> = self.states.keys().cloned().collect();
         for id in ids {
             match self.states.get(&id) {
@@ -637,17 +651,30 @@
     }
 
     fn send_heartbeats(&mut self) {
+        for (report, clock) in self.late_heartbeats.remove(&self.now).unwrap_or_default() {
+            trace(self.now, &format!("late heartbeat of {}: {}", report.name, report.capacity));
+            self.send_heartbeat(report, clock);
+        }
         if !self.now.is_multiple_of(self.heartbeat_ms()) {
             return;
         }
         let connected = self.upstreams.values().filter(|upstream| !upstream.disconnected);
         let heartbeats: Vec<_> = connected.map(|u| (report(u), u.clock(self.now))).collect();
         for (report, clock) in heartbeats {
-            let readings = HeartbeatReadings { clock: Some(clock), min_remaining_ms: None };
-            self.request(None, WorkflowRequest::Heartbeat { report, readings });
+            if self.chance(self.faults.late_heartbeats) {
+                let delay = self.rng.random_range(HEARTBEAT_DELAY_MS) / STEP_MS * STEP_MS;
+                let late = self.late_heartbeats.entry(self.now + delay).or_default();
+                late.push((report.clone(), clock));
+            }
+            self.send_heartbeat(report, clock);
         }
     }
 
+    fn send_heartbeat(&mut self, report: UpstreamReport, clock: ClockReading) {
+        let readings = HeartbeatReadings { clock: Some(clock), min_remaining_ms: None };
+        self.request(None, WorkflowRequest::Heartbeat { report, readings });
+    }
+
     fn start_upstream(&mut self, name: &UpstreamName) {
         self.incarnations += 1;
         let mut stand_in =
@@ -824,7 +851,8 @@
     }
 }
 
-fn catalog() -> Catalog {
+/// Version 1 of the catalog has a pool that enforces its capacity, version 2 one that does not.
+fn catalog(enforces_capacity: bool) -> Catalog {
     let queue = |prefix: &str, priority: u32| QueueSpec {
         name: QueueName::new(format!("q{priority}")).expect("a good name"),
         host: Arc::from("host"),
@@ -840,12 +868,12 @@
     };
     let pool = PoolSpec {
         name: PoolName::new("pool").expect("a good name"),
-        enforces_capacity: true,
+        enforces_capacity,
         standby: false,
         connections_max: 64,
     };
     Catalog {
-        version: 1,
+        version: if enforces_capacity { 1 } else { 2 },
         queues: vec![queue("/urgent/", 0), queue("/patient/", 1)],
         pools: vec![pool],
         accounts: Vec::new(),
