A heartbeat with the largest clock reading ends no leader

Callers saw (in a test): the leader ended; in a release build the sum wrapped and leases were granted into the past. Cause: clock readings of upstreams were added to without a bound. Evidence: heartbeat_with_the_largest_clock_reading_ends_no_leader panicked before (attempt to add with overflow, session.rs).

--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -326,7 +326,7 @@
     pub(super) fn record_answer_clock(&mut self, now: Time, reading: ClockReading) -> bool {
         // Without a clock it is not known which incarnation answers, until that lists its runs or sends a heartbeat.
         let Some(expected) = self.clock_at(now) else { return true };
-        if reading.0 + millis(ANSWER_DELAY_MAX) < expected.0 {
+        if reading.after(ANSWER_DELAY_MAX) < expected {
             self.ended_at = self.ended_at.or_else(|| self.silent_since());
             return false;
         }
@@ -341,7 +341,7 @@
             self.heartbeat_at = Some(now);
             return true;
         };
-        let is_late = |expected: ClockReading| reading.0 + millis(HEARTBEAT_DELAY_MAX) < expected.0;
+        let is_late = |expected: ClockReading| reading.after(HEARTBEAT_DELAY_MAX) < expected;
         if self.heartbeat_clock > Some(reading) || self.clock_at(now).is_some_and(is_late) {
             return false;
         }
@@ -359,14 +359,14 @@
     /// A lower bound of what its clock reads now.
     fn clock_at(&self, now: Time) -> Option<ClockReading> {
         let (reading, at) = self.clock?;
-        let elapsed = millis(now.since(at));
-        Some(ClockReading(reading.0 + elapsed * (100 - CLOCK_SLOW_PERCENT) / 100))
+        let elapsed_ms = millis(now.since(at)).saturating_mul(100 - CLOCK_SLOW_PERCENT) / 100;
+        Some(reading.after(Duration::from_millis(elapsed_ms)))
     }
 
     /// Grants a lease of `span` from now and returns the clock reading at which it ends; `None` if the clock is
     /// unknown. The lease counts as granted from this call on.
     pub(super) fn grant_lease(&mut self, now: Time, span: Duration) -> Option<ClockReading> {
-        let until = ClockReading(self.clock_at(now)?.0 + millis(span));
+        let until = self.clock_at(now)?.after(span);
         self.lease_until = self.lease_until.max(Some(until));
         Some(until)
     }
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use hg_model::{ResourceVector, StepSpec, WorkflowSpec};
+use hg_model::{ClockReading, ResourceVector, StepSpec, WorkflowSpec};
 use hg_policy::WorkflowBounds;
 use workflow_world::{Faults, World};
 
@@ -200,3 +200,18 @@
     world.run(1_000);
     assert_eq!(world.running(), 3, "the gang has restarted on the other upstreams");
 }
+
+#[test]
+fn heartbeat_with_the_largest_clock_reading_ends_no_leader() {
+    let mut world = World::new(1, Faults::default());
+    world.send_heartbeat_with_clock(0, ClockReading(u64::MAX));
+    for number in 0..JOBS {
+        world.submit(number);
+        world.run(500);
+    }
+    for _ in 0..60 {
+        world.run(1_000);
+        world.poll_states();
+    }
+    assert!(world.unfinished().is_empty(), "the other upstreams do all of the work");
+}
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -315,6 +315,12 @@
         }
     }
 
+    /// Sends a heartbeat of an upstream with another clock reading.
+    pub fn send_heartbeat_with_clock(&mut self, number: u32, clock: ClockReading) {
+        let report = report(&self.upstreams[&name(number)]);
+        self.send_heartbeat(report, clock);
+    }
+
     /// Changes the capacity of an upstream; its next heartbeat reports it.
     pub fn set_capacity(&mut self, number: u32, capacity: ResourceVector) {
         let until = self.now + SHRINK_GRACE_MS + self.heartbeat_ms();
--- a/crates/hg_model/src/workflow/report.rs
+++ b/crates/hg_model/src/workflow/report.rs
@@ -1,6 +1,7 @@
 //! Announcements and heartbeats of upstreams that run tasks of workflows.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -64,3 +65,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ClockReading(pub u64);
+
+impl ClockReading {
+    /// The reading `span` later; saturates at the largest value.
+    #[must_use]
+    pub fn after(self, span: Duration) -> Self {
+        let span_ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(span_ms))
+    }
+}
