A workflow with the longest estimate ends no control host

In a release build the sums wrapped and the workflow was ranked as a short one. Evidence: longest_estimates_are_decided_on failed before (attempt to add with overflow, step.rs). All sums and products of what a request states saturate.

--- a/crates/hg_model/src/workflow/step.rs
+++ b/crates/hg_model/src/workflow/step.rs
@@ -211,7 +211,7 @@
             let earlier =
                 step.after.iter().filter_map(|after| ends.get(usize::try_from(*after).ok()?));
             let begin = earlier.copied().max().unwrap_or(0);
-            ends.push(begin + step.estimate_ms);
+            ends.push(begin.saturating_add(step.estimate_ms));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -93,8 +93,13 @@
     members
 }
 
+/// A share of a time that a request stated, which may be as long as can be encoded.
+pub(crate) const fn percent_of(ms: u64, percent: u64) -> u64 {
+    ms.saturating_mul(percent) / 100
+}
+
 fn is_locality_wait_over(now: Time, step: &ReadyStep<'_>) -> bool {
-    let wait = Duration::from_millis(step.spec.estimate_ms * LOCALITY_WAIT_PERCENT / 100);
+    let wait = Duration::from_millis(percent_of(step.spec.estimate_ms, LOCALITY_WAIT_PERCENT));
     now >= step.due.after(wait)
 }
 
--- a/crates/hg_policy/src/workflow/preemption.rs
+++ b/crates/hg_policy/src/workflow/preemption.rs
@@ -114,7 +114,7 @@
                 let victim = gangs.entry(&row.task.step);
                 let victim = victim.or_insert_with(|| Victim { rows: Vec::new(), cost: 0 });
                 victim.rows.push(number);
-                victim.cost += cost;
+                victim.cost = victim.cost.saturating_add(cost);
             } else {
                 victims.push(Victim { rows: vec![number], cost });
             }
@@ -223,7 +223,7 @@
         for task in &self.step.waiting {
             let number = self.cheapest_member(&counts)?;
             let option = self.members[number].option.take()?;
-            total_cost += option.cost;
+            total_cost = total_cost.saturating_add(option.cost);
             let mut changed = BTreeSet::from([number]);
             for victim in option.victims {
                 self.choose(victim, &mut changed);
@@ -286,7 +286,7 @@
             for row in rows.filter(|row| row.upstream == &member.candidate.report.name) {
                 free = free.plus(&release(&mut excess, &row.open.claim));
             }
-            cost += victim.cost;
+            cost = cost.saturating_add(victim.cost);
             victims.push(*number);
             if self.claim.fits(&free.minus(held)) {
                 return Some(Eviction { victims, cost, available });
--- a/crates/hg_policy/src/workflow/speed_tracker.rs
+++ b/crates/hg_policy/src/workflow/speed_tracker.rs
@@ -13,6 +13,8 @@
 use hg_ledger::{OpenRun, RunRef, WorkflowLedger};
 use hg_model::{ClockReading, ListedRun, QueueName, RunNumber, StepId, TaskId, Time, UpstreamName};
 
+use super::placement::percent_of;
+
 /// Progress is compared only over at least this share of a task, in percent: smaller differences
 /// are dominated by rounding.
 const PROGRESS_MIN_PERCENT: u32 = 12;
@@ -323,8 +325,8 @@
 }
 
 fn is_stalled(idle_ms: u64, estimate_ms: u64) -> bool {
-    let short_ms = STALL_SHORT_MS.max(estimate_ms * STALL_SHORT_PERCENT / 100);
-    let limit_ms = STALL_MS.min(short_ms).max(estimate_ms * STALL_PERCENT / 100);
+    let short_ms = STALL_SHORT_MS.max(percent_of(estimate_ms, STALL_SHORT_PERCENT));
+    let limit_ms = STALL_MS.min(short_ms).max(percent_of(estimate_ms, STALL_PERCENT));
     estimate_ms > 0 && idle_ms >= limit_ms
 }
 
--- a/crates/hg_policy/tests/workflow/harness.rs
+++ b/crates/hg_policy/tests/workflow/harness.rs
@@ -5,8 +5,8 @@
 use hg_ledger::{QueueTerms, RunRef, RunStart, WorkflowCommand, WorkflowEffect, WorkflowLedger};
 use hg_model::{
     AccountName, AdviceTiming, Catalog, ClientAccount, DataCentreName, EndKind, HostName,
-    Incarnation, JobId, Label, PoolName, QueueName, RackName, ResourceVector, RunEnd, StepSpec,
-    Time, UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
+    Incarnation, JobId, Label, PoolName, QueueName, RackName, ResourceVector, RunEnd, Schedule,
+    StepSpec, Time, UpstreamName, UpstreamReport, WorkflowSpec, WorkflowState,
 };
 use hg_policy::{FleetObservations, WorkflowBounds, WorkflowDecisions, WorkflowScheduler};
 
@@ -99,7 +99,22 @@
         }));
     }
 
+    pub fn submit_scheduled(
+        &mut self,
+        name: &str,
+        priority: u32,
+        steps: Vec<StepSpec>,
+        schedule: Schedule,
+    ) {
+        let spec = WorkflowSpec::new("work", steps).with_schedule(schedule);
+        self.submit_spec("lindqvist", name, priority, spec);
+    }
+
     pub fn submit_for(&mut self, account: &str, name: &str, priority: u32, steps: Vec<StepSpec>) {
+        self.submit_spec(account, name, priority, WorkflowSpec::new("work", steps));
+    }
+
+    fn submit_spec(&mut self, account: &str, name: &str, priority: u32, spec: WorkflowSpec) {
         let terms = QueueTerms {
             queue: QueueName::new("queue").expect("a valid name"),
             pool: PoolName::new("pool").expect("a valid name"),
@@ -109,7 +124,6 @@
             objective_ms: 1_000,
             advice: self.advice,
         };
-        let spec = WorkflowSpec { content: Arc::from("work"), steps, schedule: None };
         let account = AccountName::new(account).ok();
         let at = self.now;
         self.apply(WorkflowCommand::Accept { id: job(name), spec, terms, account, at });
