hg_policy: a schedule whose occurrences are all due takes no more memory than one occurrence may have

Callers saw (in a test): two accepted workflows, each within the limits of a request, took 552 MB in one round of decisions, where a control host may have 256 MB; each leader in turn would have been ended by its limit. Cause: every due occurrence of a schedule was listed with all of its tasks, 10,000 times 10,000. Once a workflow has as many waiting tasks as one occurrence may have, later occurrences wait for the earlier ones; they could not start before them anyway.

--- a/crates/hg_policy/src/workflow/ready_steps.rs
+++ b/crates/hg_policy/src/workflow/ready_steps.rs
@@ -14,6 +14,10 @@
 /// A job that takes longer than this multiple of its latency objective has no value any more.
 const LATE_FACTOR: u64 = 3;
 
+/// Once a workflow has this many tasks that may start, its later occurrences wait for the earlier ones. As many as a single
+/// occurrence may have.
+const WAITING_MAX: usize = 10_000;
+
 /// Whether a job can still end within its latency objective.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Outlook {
@@ -108,7 +112,11 @@
     is_covered: bool,
     ready: &mut Vec<ReadyStep<'a>>,
 ) {
+    let mut waiting_count = 0;
     for number in 0..job.spec.occurrences() {
+        if waiting_count >= WAITING_MAX {
+            return;
+        }
         let due = match job.spec.schedule {
             Some(schedule) => Time(schedule.due_ms(number)),
             None => job.accepted_at,
@@ -130,6 +138,7 @@
             if record.is_some_and(|record| !record.can_run_again(job.terms.attempts)) {
                 continue;
             }
+            waiting_count += waiting.len();
             let id = StepId { job: id.clone(), occurrence: number, step };
             ready.push(ReadyStep { id, job, spec, record, waiting, rank, due, allowed: None });
         }
