--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 37] = [
+pub const METRICS: [Metric; 39] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -116,6 +116,20 @@
     ),
     metric("hg_workflow_runs", Gauge, "", "runs", "Runs that may be in progress."),
     metric("hg_workflow_upstreams", Gauge, "", "upstreams", "Registered upstreams."),
+    metric(
+        "hg_workflow_accelerators",
+        Gauge,
+        "",
+        "accelerators",
+        "The accelerators of the registered upstreams, by their last reports.",
+    ),
+    metric(
+        "hg_workflow_suspects",
+        Gauge,
+        "",
+        "tasks",
+        "Tasks on whose upstreams a crash is not explained yet.",
+    ),
     metric(
         "hg_workflow_shunned",
         Gauge,
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -109,5 +109,8 @@
     metrics::gauge!("hg_workflow_open").set(ledger.jobs().len() as f64);
     metrics::gauge!("hg_workflow_runs").set(f64::from(runs));
     metrics::gauge!("hg_workflow_upstreams").set(ledger.upstreams().len() as f64);
+    let accelerators = ledger.upstreams().values().map(|u| f64::from(u.capacity.accelerators));
+    metrics::gauge!("hg_workflow_accelerators").set(accelerators.sum::<f64>());
+    metrics::gauge!("hg_workflow_suspects").set(ledger.crashes().tasks().len() as f64);
     metrics::gauge!("hg_workflow_shunned").set(excluded as f64);
 }
