Isolation of suspects costs innocents less, and judging them less processor time

Causes: each round judged each suspect anew against each crash for each question, which overran the leader; 26 of 48 upstreams were isolated at a time, since the limit counted new ones only; the first crashes of a common cause were judged before the others were reported; and each suspect kept its upstream for 30 s.

One judgement a round; a quarter of the pool at most is isolated, for 3 s after a single crash; upstreams that are silent at the same time count as crashed with it; silence counts from its beginning, so that runs lost with an expired lease are not held.

--- a/crates/hg_control/src/workflow/crash_evidence.rs
+++ b/crates/hg_control/src/workflow/crash_evidence.rs
@@ -55,8 +55,10 @@
         let mut runs = self.exposed_runs(name, ledger);
         runs.retain(|run| is_lost(&run.task));
         let (name, incarnation) = (name.clone(), self.incarnation);
-        let has_runs = !runs.is_empty();
-        has_runs.then_some(WorkflowCommand::UpstreamSilenced { name, incarnation, runs, at: now })
+        let (has_runs, silent_since, at) = (!runs.is_empty(), self.silent_since(), now);
+        let command =
+            WorkflowCommand::UpstreamSilenced { name, incarnation, silent_since, runs, at };
+        has_runs.then_some(command)
     }
 }
 
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -59,7 +59,10 @@
         };
         let excluded = self.sessions.iter().filter(|(name, s)| is_excluded(name, s));
         let leaving = self.sessions.iter().filter_map(|(n, s)| Some((n.clone(), s.leaves_at?)));
+        let unresponsive = self.sessions.iter().filter(|(_, s)| s.is_unresponsive());
+        let silent = unresponsive.filter_map(|(name, s)| Some((name.clone(), s.silent_since()?)));
         FleetObservations {
+            silent: silent.collect(),
             excluded: excluded.map(|(name, _)| name.clone()).collect(),
             leaving: leaving.collect(),
             ..FleetObservations::default()
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -163,6 +163,8 @@
         name: UpstreamName,
         /// Its incarnation.
         incarnation: Incarnation,
+        /// Since when it gave no sign of life; `None` if the leader had not been in contact with it.
+        silent_since: Option<Time>,
         /// The runs.
         runs: Vec<ExposedRun>,
         /// When it was decided or observed.
--- a/crates/hg_ledger/src/workflow/crash.rs
+++ b/crates/hg_ledger/src/workflow/crash.rs
@@ -79,6 +79,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Silenced {
     incarnation: Incarnation,
+    /// Since when the upstream gave no sign of life, as far as is known.
+    since: Time,
+    /// When the last of its runs was given up.
     at: Time,
     runs: Vec<ExposedRun>,
 }
@@ -98,9 +101,9 @@
         self.tasks.is_empty() && self.silenced.is_empty()
     }
 
-    /// The runs whose upstreams fell silent, with the time since when they are known to be lost.
+    /// The runs whose upstreams fell silent, with the time since when they are.
     pub fn silenced_runs(&self) -> impl Iterator<Item = (Time, &ExposedRun)> {
-        self.silenced.values().flat_map(|silenced| silenced.runs.iter().map(|r| (silenced.at, r)))
+        self.silenced.values().flat_map(|s| s.runs.iter().map(|run| (s.since, run)))
     }
 
     /// The tasks that have gone through crashes and are not done, with these, the earliest first.
@@ -205,14 +208,17 @@
         &mut self,
         upstream: UpstreamName,
         incarnation: Incarnation,
+        since: Option<Time>,
         runs: Vec<ExposedRun>,
         at: Time,
     ) {
         self.silenced.retain(|_, silenced| at.since(silenced.at) <= RETAIN_SILENCED_FOR);
         let silenced = self.silenced.entry(upstream);
-        let silenced = silenced.or_insert_with(|| Silenced { incarnation, at, runs: Vec::new() });
-        if silenced.incarnation < incarnation {
-            *silenced = Silenced { incarnation, at, runs: Vec::new() };
+        let since = since.unwrap_or(at);
+        let new = || Silenced { incarnation, since, at, runs: Vec::new() };
+        let silenced = silenced.or_insert_with(new);
+        if silenced.incarnation < incarnation || silenced.at < since {
+            *silenced = new();
         }
         silenced.at = at;
         silenced.runs.extend(runs);
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -149,9 +149,9 @@
             WorkflowCommand::UpstreamCrashed { name, incarnation, silent_since, runs, at } => {
                 self.crash_upstream(name, incarnation, silent_since, runs, at);
             }
-            WorkflowCommand::UpstreamSilenced { name, incarnation, mut runs, at } => {
+            WorkflowCommand::UpstreamSilenced { name, incarnation, silent_since, mut runs, at } => {
                 runs.retain(|run| self.is_unfinished(&run.task));
-                self.crashes.record_silenced(name, incarnation, runs, at);
+                self.crashes.record_silenced(name, incarnation, silent_since, runs, at);
             }
             WorkflowCommand::GiveUp { task, at } => {
                 if self.crashes.of(&task).len() >= CRASHES_MIN {
--- a/crates/hg_policy/src/workflow/crash_guard.rs
+++ b/crates/hg_policy/src/workflow/crash_guard.rs
@@ -6,11 +6,14 @@
 //! it was without the task, given how long the task ran and how often other upstreams crash without a known cause (a
 //! sequential probability ratio test, Wald 1945). It is given up once chance is no explanation any more.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use hg_ledger::{Crashes, ExposedRun, TaskCrash, TaskState, UpstreamCrash, WorkflowLedger};
-use hg_model::{JobId, RunNumber, StepId, TaskId, Time, UpstreamName};
+use hg_ledger::{ExposedRun, TaskCrash, TaskState, UpstreamCrash, WorkflowLedger};
+use hg_model::{Incarnation, JobId, RunNumber, StepId, TaskId, Time, UpstreamName};
+
+use super::isolation::isolated_max;
 
 /// The evidence from which on a task is given up: the logarithm of how unlikely its crashes are by chance, here one in a
 /// million.
@@ -43,16 +46,17 @@
 const RELIABILITY_SPAN: Duration = Duration::from_secs(30);
 /// A run counts as exposed for this long at least, since the time of a crash is not known exactly.
 const EXPOSURE_MIN: Duration = Duration::from_millis(500);
-/// Crashes within this time of each other may have a common cause, such as a loss of power.
-const CORRELATED_WITHIN: Duration = Duration::from_secs(1);
+/// Crashes within this time of each other may have a common cause, such as a loss of power: silence is noticed with the
+/// delay of a listing.
+const CORRELATED_WITHIN: Duration = Duration::from_millis(2_600);
 /// That many other upstreams have to crash at the same time for a common cause to be likely.
 const CORRELATED_MIN: u32 = 2;
 /// A task that was started that shortly before its upstream crashed is suspected even if other upstreams crashed too.
 const JUST_STARTED: Duration = Duration::from_secs(1);
 /// How long after its last crash a task is given up: other upstreams that crashed at the same time may be back by then.
 const SETTLED_AFTER: Duration = Duration::from_secs(5);
-/// After this time an upstream that fell silent has crashed and is back, or is gone for good: leases of runs on it are over.
-const RESOLVED_AFTER: Duration = Duration::from_secs(12);
+/// An upstream that crashes is back within this time as a rule. One that is silent for longer was cut off, or is gone.
+const RESOLVED_AFTER: Duration = Duration::from_secs(6);
 /// From this number of crashes on, a task starts only while no other upstream crashes.
 const CALM_FROM_CRASHES: usize = 3;
 /// How long no other upstream may have crashed for that.
@@ -63,6 +67,8 @@
 const LAST_CALM_WAIT_MAX: Duration = Duration::from_secs(30);
 /// A suspect that has worked for this long on an upstream does not crash it.
 const CLEARED_AFTER: Duration = Duration::from_secs(30);
+/// The same after a single crash.
+const CLEARED_AFTER_FIRST: Duration = Duration::from_secs(3);
 
 /// What is to be done with a task that waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -80,10 +86,13 @@
 }
 
 /// The members of a gang, or a task by itself.
-#[derive(Debug, Clone, Copy)]
-struct Members {
+#[derive(Debug)]
+struct Members<'a> {
+    job: &'a JobId,
     /// How many there are.
     width: u32,
+    /// The crashes of each run that ended with any.
+    runs: BTreeMap<RunNumber, Vec<&'a TaskCrash>>,
     /// The largest number of crashes of one of them.
     crashes_max: usize,
     /// The largest number of upstreams that fell silent under one of them and of which it is not known yet whether they
@@ -91,215 +100,314 @@
     unresolved: usize,
 }
 
-/// The crashes of a ledger, seen at one time.
-#[derive(Debug, Clone, Copy)]
+/// The crash of an upstream, as far as it may explain others.
+#[derive(Debug)]
+struct Fact<'a> {
+    crash: &'a UpstreamCrash,
+    at: Time,
+    /// Whether no known task is a likely cause.
+    is_unexplained: bool,
+}
+
+/// The crashes of a ledger, judged at one time.
+#[derive(Debug, Default)]
 pub(crate) struct CrashGuard<'a> {
     now: Time,
-    ledger: &'a WorkflowLedger,
+    upstreams: u32,
+    facts: Vec<Fact<'a>>,
+    /// Upstreams that give no sign of life, with the time since when.
+    silent: Vec<(&'a UpstreamName, &'a Time)>,
+    /// The position of each crash among the facts.
+    positions: BTreeMap<(&'a UpstreamName, Incarnation), usize>,
+    /// The positions of the crashes that each workflow may have caused.
+    own: BTreeMap<&'a JobId, Vec<usize>>,
+    /// How many upstreams fell silent lately under each task of which it is not known yet whether they crashed.
+    unresolved: BTreeMap<&'a TaskId, usize>,
+    /// What is suspected, by step and task; a gang has one entry, for its first member.
+    suspicions: BTreeMap<&'a StepId, BTreeMap<u32, Suspicion>>,
+    /// The workflows of which a task has probably crashed an upstream.
+    probable: BTreeSet<&'a JobId>,
+    /// The upstreams on which a suspect runs, which get no other work.
+    isolated: BTreeSet<&'a UpstreamName>,
 }
 
+/// Queries.
 impl<'a> CrashGuard<'a> {
-    pub(crate) const fn new(now: Time, ledger: &'a WorkflowLedger) -> Self {
-        Self { now, ledger }
-    }
-
-    const fn crashes(&self) -> &'a Crashes {
-        self.ledger.crashes()
-    }
-
     /// Whether no task has to be judged.
     pub(crate) fn is_idle(&self) -> bool {
-        self.crashes().is_empty()
+        self.suspicions.is_empty()
     }
 
     /// The suspicion against a task. The members of a gang are judged together, since they only run together.
     pub(crate) fn suspicion(&self, step: &StepId, index: u32, is_gang: bool) -> Suspicion {
-        let members = if is_gang {
-            0..self.ledger.step_spec(step).map_or(0, |spec| spec.tasks)
-        } else {
-            index..index + 1
-        };
-        let members: Vec<TaskId> =
-            members.map(|index| TaskId { step: step.clone(), index }).collect();
-        let unresolved = members.iter().map(|task| self.unresolved(task)).max().unwrap_or(0);
-        let crashes_max =
-            members.iter().map(|task| self.crashes().of(task).len()).max().unwrap_or(0);
-        let crashes = members.iter().flat_map(|task| self.crashes().of(task));
-        let mut runs: BTreeMap<RunNumber, Vec<&TaskCrash>> = BTreeMap::new();
-        for crash in crashes {
-            runs.entry(crash.run).or_default().push(crash);
-        }
-        let width = u32::try_from(members.len()).unwrap_or(u32::MAX);
-        self.judge(&step.job, &runs, Members { width, crashes_max, unresolved })
+        let index = if is_gang { 0 } else { index };
+        let of_step = self.suspicions.get(step);
+        of_step.and_then(|tasks| tasks.get(&index).copied()).unwrap_or(Suspicion::None)
     }
 
-    /// The steps of which some task has gone through a crash, or may have.
-    pub(crate) fn affected_steps(&self) -> BTreeSet<&'a StepId> {
-        let silenced = self.crashes().silenced_runs().map(|(_, run)| &run.task);
-        self.crashes().tasks().keys().chain(silenced).map(|task| &task.step).collect()
+    /// Whether some task of a step has to be judged.
+    pub(crate) fn is_affected(&self, step: &StepId) -> bool {
+        self.suspicions.contains_key(step)
     }
 
-    /// How many upstreams fell silent under a task of which it is not known yet whether they crashed.
-    fn unresolved(&self, task: &TaskId) -> usize {
-        let is_own = |(at, run): &(Time, &ExposedRun)| {
-            run.task == *task && self.now < at.after(RESOLVED_AFTER)
-        };
-        self.crashes().silenced_runs().filter(is_own).count()
+    /// Whether a task of the workflow has probably crashed an upstream.
+    pub(crate) fn has_evidence(&self, job: &JobId) -> bool {
+        self.probable.contains(job)
     }
 
-    /// Judges a task, or a gang, by its runs that ended with a crash.
-    fn judge(
-        &self,
-        job: &JobId,
-        runs: &BTreeMap<RunNumber, Vec<&TaskCrash>>,
-        members: Members,
-    ) -> Suspicion {
-        let Members { width, crashes_max, unresolved } = members;
-        if unresolved > 0 && unresolved + runs.len() > 1 {
+    /// Whether an upstream has lately crashed at all.
+    pub(crate) fn has_crashed(&self, upstream: &UpstreamName) -> bool {
+        let is_recent = |fact: &Fact<'_>| self.now < fact.crash.at.after(RELIABILITY_SPAN);
+        self.facts.iter().any(|fact| fact.crash.upstream == *upstream && is_recent(fact))
+    }
+
+    /// The upstreams on which a suspect runs, which get no other work.
+    pub(crate) const fn isolated(&self) -> &BTreeSet<&'a UpstreamName> {
+        &self.isolated
+    }
+
+    /// Judges a task or a gang.
+    fn judge(&self, members: &Members<'_>) -> Suspicion {
+        let Members { job, runs, crashes_max, unresolved, .. } = members;
+        if *unresolved > 0 && unresolved + runs.len() > 1 {
             return Suspicion::Pending;
         }
         let last = runs.values().flatten().max_by_key(|crash| crash.at);
         let Some(last) = last else {
-            return if unresolved > 0 { Suspicion::Doubtful } else { Suspicion::None };
+            return if *unresolved > 0 { Suspicion::Doubtful } else { Suspicion::None };
         };
-        let is_many = runs.len() >= MANY_CRASHES;
         let evidence_min = match runs.len() {
             MANY_CRASHES.. => EVIDENCE_AFTER_MANY,
             SEVERAL_CRASHES => EVIDENCE_AFTER_SEVERAL,
             _ => EVIDENCE_MIN,
         };
-        let evidence: f64 =
-            runs.values().map(|crashes| self.evidence_of_run(job, crashes, width)).sum();
-        if evidence >= evidence_min && crashes_max >= CRASHES_MIN {
+        if self.evidence(members) >= evidence_min && *crashes_max >= CRASHES_MIN {
             let is_settled = self.now >= last.at.after(SETTLED_AFTER);
             return if is_settled { Suspicion::Guilty } else { Suspicion::Pending };
         }
-        if runs.len() == 1 && (last.is_bystander || self.has_common_cause(job, last)) {
+        let has_other_cause =
+            |crash: &&TaskCrash| crash.is_bystander || self.has_common_cause(crash);
+        if runs.len() < CALM_FROM_CRASHES && runs.values().flatten().all(has_other_cause) {
             return Suspicion::None;
         }
-        let wait_max = if is_many { LAST_CALM_WAIT_MAX } else { CALM_WAIT_MAX };
+        let wait_max = if runs.len() < MANY_CRASHES { CALM_WAIT_MAX } else { LAST_CALM_WAIT_MAX };
         let waits_for_calm = runs.len() >= CALM_FROM_CRASHES
             && self.now < last.at.after(wait_max)
             && !self.is_calm(job);
         if waits_for_calm { Suspicion::Pending } else { Suspicion::Suspect }
     }
 
-    /// The logarithm of how unlikely the crashes of one run are by chance. Those of a gang's members may have one cause.
-    fn evidence_of_run(&self, job: &JobId, crashes: &[&TaskCrash], width: u32) -> f64 {
-        crashes.iter().map(|crash| self.evidence_of(job, crash, width)).fold(0.0, f64::max)
+    /// The logarithm of how unlikely the crashes are by chance. Those of a gang's members in one run may have one cause.
+    fn evidence(&self, members: &Members<'_>) -> f64 {
+        let of_run = |crashes: &Vec<&TaskCrash>| {
+            crashes.iter().map(|crash| self.evidence_of(members, crash)).fold(0.0, f64::max)
+        };
+        members.runs.values().map(of_run).sum()
     }
 
-    fn evidence_of(&self, job: &JobId, crash: &TaskCrash, width: u32) -> f64 {
-        let found = self.crashes().find(&crash.upstream, crash.incarnation);
-        let is_only_suspect =
-            found.is_some_and(|found| found.suspects.iter().all(|run| run.task.step.job == *job));
+    fn evidence_of(&self, members: &Members<'_>, crash: &TaskCrash) -> f64 {
+        let position = self.positions.get(&(&crash.upstream, crash.incarnation));
+        let found = position.map(|position| self.facts[*position].crash);
+        let is_only_suspect = found.is_some_and(|found| {
+            found.suspects.iter().all(|run| run.task.step.job == *members.job)
+        });
         if !is_only_suspect {
             return 0.0;
         }
         let max = if crash.is_alone { EVIDENCE_PER_CRASH_MAX } else { EVIDENCE_BESIDE_OTHERS_MAX };
-        let evidence = (-self.chance(job, crash, width).ln()).min(max);
+        let evidence = (-self.chance(members, crash).ln()).min(max);
         if crash.is_confirmed { evidence } else { evidence * UNCONFIRMED_PART }
     }
 
-    /// The probability of a crash that the task did not cause, or any other member of a gang of that width.
-    fn chance(&self, job: &JobId, crash: &TaskCrash, width: u32) -> f64 {
+    /// The probability of a crash that the task did not cause, nor any other member of its gang.
+    fn chance(&self, members: &Members<'_>, crash: &TaskCrash) -> f64 {
         let at = crash_time(crash.silent_since, crash.at);
         let exposure = at.since(crash.started_at).max(EXPOSURE_MIN).as_secs_f64();
-        let upstreams = u32::try_from(self.ledger.upstreams().len()).unwrap_or(u32::MAX).max(1);
         let (mut near, mut lately, mut here) = (0_u32, 0_u32, 0_u32);
-        for other in self.noise(job) {
-            let other_at = crash_time(other.silent_since, other.at);
-            let apart = at.since(other_at).max(other_at.since(at));
-            let is_here = other.upstream == crash.upstream;
+        for other in self.noise(members.job) {
+            let apart = at.since(other.at).max(other.at.since(at));
+            let is_here = other.crash.upstream == crash.upstream;
             near += u32::from(!is_here && apart <= RATE_SPAN);
             lately += u32::from(!is_here && apart <= RELIABILITY_SPAN);
             here += u32::from(is_here && apart <= RELIABILITY_SPAN);
         }
         let per_second = |count: u32, span: Duration| f64::from(count) / (2.0 * span.as_secs_f64());
+        let upstreams = f64::from(self.upstreams);
         // One more than was seen: a small pool that was calm so far need not stay so.
         let lately = per_second(lately + 1, RELIABILITY_SPAN);
-        let of_others = per_second(near, RATE_SPAN).max(lately) / f64::from(upstreams);
+        let of_others = per_second(near, RATE_SPAN).max(lately) / upstreams;
         let rate = of_others + per_second(here, RELIABILITY_SPAN) + CRASH_RATE_MIN;
-        let single = -(-rate * exposure * f64::from(width)).exp_m1();
-        let correlated = self.correlated(job, crash);
-        let common = if correlated >= CORRELATED_MIN {
-            f64::from(correlated) / f64::from(upstreams)
-        } else {
-            0.0
-        };
+        let single = -(-rate * exposure * f64::from(members.width)).exp_m1();
+        let correlated = Self::correlated(crash, self.noise(members.job));
+        let common =
+            if correlated >= CORRELATED_MIN { f64::from(correlated) / upstreams } else { 0.0 };
         single.max(common).min(1.0)
     }
 
-    /// Whether a task of the workflow has probably crashed an upstream.
-    pub(crate) fn has_evidence(&self, job: &JobId) -> bool {
-        let of_job = self.crashes().tasks().iter().filter(|(task, _)| task.step.job == *job);
-        let evidence = |crashes: &[TaskCrash]| {
-            crashes.iter().map(|c| self.evidence_of(job, c, 1)).sum::<f64>()
-        };
-        of_job.into_iter().any(|(_, crashes)| evidence(crashes) >= EVIDENCE_OF_ONE)
-    }
-
-    /// Whether the crash of an upstream has no known cause: neither this workflow, nor a task that has been in many crashes or
-    /// was given up.
-    fn is_noise(&self, job: &JobId, crash: &UpstreamCrash) -> bool {
-        let is_cause = |run: &ExposedRun| {
-            run.task.step.job == *job || self.crashes().of(&run.task).len() >= LIKELY_CAUSE_CRASHES
-        };
-        !crash.is_explained && !crash.suspects.iter().any(is_cause)
-    }
-
-    fn noise(&self, job: &JobId) -> impl Iterator<Item = &'a UpstreamCrash> {
-        self.crashes().upstreams().iter().filter(move |crash| self.is_noise(job, crash))
+    /// The crashes of upstreams without a known cause, neither in this workflow nor in others.
+    fn noise(&self, job: &JobId) -> impl Iterator<Item = &Fact<'a>> {
+        let own = self.own.get(job).map_or(&[][..], Vec::as_slice);
+        let facts = self.facts.iter().enumerate();
+        let noise = facts.filter(move |(at, fact)| fact.is_unexplained && !own.contains(at));
+        noise.map(|(_, fact)| fact)
     }
 
     fn is_calm(&self, job: &JobId) -> bool {
-        self.noise(job).all(|crash| self.now >= crash.at.after(CALM_FOR))
+        self.noise(job).all(|fact| self.now >= fact.crash.at.after(CALM_FOR))
     }
 
-    /// How many other upstreams crashed at the same time, as far as is known.
-    fn correlated(&self, job: &JobId, crash: &TaskCrash) -> u32 {
-        let is_near = |other: &&UpstreamCrash| match (other.silent_since, crash.silent_since) {
+    /// How many of some crashes happened to other upstreams at the same time, as far as is known.
+    fn correlated<'b>(crash: &TaskCrash, facts: impl Iterator<Item = &'b Fact<'a>>) -> u32
+    where
+        'a: 'b,
+    {
+        let is_near = |other: &&Fact<'_>| match (other.crash.silent_since, crash.silent_since) {
             (Some(a), Some(b)) => a.since(b).max(b.since(a)) <= CORRELATED_WITHIN,
             // Crashes before a change of the leader, whose times are not known.
             (None, None) => true,
             _ => false,
         };
-        let others = self.noise(job).filter(|other| other.upstream != crash.upstream);
+        let others = facts.filter(|other| other.crash.upstream != crash.upstream);
         u32::try_from(others.filter(is_near).count()).unwrap_or(u32::MAX)
     }
 
-    /// Whether a crash probably has a cause outside of the task.
-    fn has_common_cause(&self, job: &JobId, crash: &TaskCrash) -> bool {
-        let is_just_started =
-            crash.silent_since.is_some_and(|at| at.since(crash.started_at) <= JUST_STARTED);
-        !is_just_started && self.correlated(job, crash) >= CORRELATED_MIN
+    /// Whether a crash probably has a cause outside of the task: other upstreams crashed at the same time, and the task had not
+    /// just been started. Those on which tasks of the same workflow ran count too, since a loss of power takes many of a wide one.
+    fn has_common_cause(&self, crash: &TaskCrash) -> bool {
+        let is_just_started = crash.is_confirmed
+            && crash.silent_since.is_some_and(|at| at.since(crash.started_at) <= JUST_STARTED);
+        let unexplained = self.facts.iter().filter(|fact| fact.is_unexplained);
+        let at = crash_time(crash.silent_since, crash.at);
+        let is_silent_too = |(name, since): &&(&UpstreamName, &Time)| {
+            let is_near = since.since(at).max(at.since(**since)) <= CORRELATED_WITHIN;
+            is_near && !self.has_crashed(name)
+        };
+        let silent = self.silent.iter().filter(is_silent_too).count();
+        let silent = u32::try_from(silent).unwrap_or(u32::MAX);
+        !is_just_started && Self::correlated(crash, unexplained) + silent >= CORRELATED_MIN
     }
+}
 
-    /// Whether an upstream has lately crashed at all.
-    pub(crate) fn has_crashed(&self, upstream: &UpstreamName) -> bool {
-        let is_recent = |crash: &UpstreamCrash| self.now < crash.at.after(RELIABILITY_SPAN);
-        let crashes = self.crashes().upstreams().iter();
-        crashes.into_iter().any(|crash| crash.upstream == *upstream && is_recent(crash))
+/// Commands.
+impl<'a> CrashGuard<'a> {
+    /// Judges the tasks of a ledger that went through crashes.
+    ///
+    /// `silent` holds upstreams that give no sign of life, with the time since when: they may have crashed too.
+    pub(crate) fn new(
+        now: Time,
+        ledger: &'a WorkflowLedger,
+        silent: &'a BTreeMap<UpstreamName, Time>,
+    ) -> Self {
+        let crashes = ledger.crashes();
+        let mut guard = Self { now, silent: silent.iter().collect(), ..Self::default() };
+        if crashes.is_empty() {
+            return guard;
+        }
+        guard.upstreams = u32::try_from(ledger.upstreams().len()).unwrap_or(u32::MAX).max(1);
+        for crash in crashes.upstreams() {
+            let is_likely_cause =
+                |run: &ExposedRun| crashes.of(&run.task).len() >= LIKELY_CAUSE_CRASHES;
+            let is_unexplained = !crash.is_explained && !crash.suspects.iter().any(is_likely_cause);
+            let key = (&crash.upstream, crash.incarnation);
+            guard.positions.insert(key, guard.facts.len());
+            for run in &crash.suspects {
+                let own = guard.own.entry(&run.task.step.job).or_default();
+                if own.last() != Some(&guard.facts.len()) {
+                    own.push(guard.facts.len());
+                }
+            }
+            let at = crash_time(crash.silent_since, crash.at);
+            guard.facts.push(Fact { crash, at, is_unexplained });
+        }
+        for (silent_since, run) in crashes.silenced_runs() {
+            if now < silent_since.after(RESOLVED_AFTER) {
+                *guard.unresolved.entry(&run.task).or_insert(0) += 1;
+            }
+        }
+        guard.judge_all(ledger);
+        guard
     }
 
-    /// The upstreams on which a suspect runs, which get no other work.
-    pub(crate) fn isolated(&self) -> BTreeSet<&'a UpstreamName> {
-        let suspects = self.crashes().tasks().keys().filter_map(|task| {
-            let record = self.ledger.step_record(&task.step)?;
-            let spec = self.ledger.step_spec(&task.step)?;
-            (self.suspicion(&task.step, task.index, spec.gang) >= Suspicion::Suspect)
-                .then_some((task, record, spec))
-        });
-        let mut upstreams = BTreeSet::new();
-        for (task, record, spec) in suspects {
-            for (index, state) in (0_u32..).zip(&record.tasks) {
-                let TaskState::Running { upstream } = &state.state else { continue };
-                let id = TaskId { step: task.step.clone(), index };
-                let open = self.ledger.occupancy().get(upstream, &id);
-                let is_young = open.is_some_and(|o| self.now < o.since.after(CLEARED_AFTER));
-                if is_young && (spec.gang || index == task.index) {
-                    upstreams.insert(upstream);
+    fn judge_all(&mut self, ledger: &'a WorkflowLedger) {
+        let mut by_step: BTreeMap<&'a StepId, BTreeSet<u32>> = BTreeMap::new();
+        for task in ledger.crashes().tasks().keys().chain(self.unresolved.keys().copied()) {
+            by_step.entry(&task.step).or_default().insert(task.index);
+        }
+        let mut candidates = Vec::new();
+        for (step, indices) in by_step {
+            let Some(spec) = ledger.step_spec(step) else { continue };
+            let units: Vec<Vec<u32>> = if spec.gang {
+                vec![indices.into_iter().collect()]
+            } else {
+                indices.into_iter().map(|index| vec![index]).collect()
+            };
+            for unit in units {
+                let width = if spec.gang { spec.tasks } else { 1 };
+                let members = self.members(ledger, step, &unit, width);
+                let suspicion = self.judge(&members);
+                if self.evidence(&members) >= EVIDENCE_OF_ONE {
+                    self.probable.insert(&step.job);
                 }
+                if suspicion >= Suspicion::Suspect {
+                    let index = if spec.gang { None } else { unit.first() };
+                    let cleared_after =
+                        if members.runs.len() > 1 { CLEARED_AFTER } else { CLEARED_AFTER_FIRST };
+                    let upstreams = self.upstreams_of(ledger, step, index, cleared_after);
+                    candidates.push((Reverse(members.runs.len()), upstreams));
+                }
+                let index = if spec.gang { 0 } else { unit[0] };
+                self.suspicions.entry(step).or_default().insert(index, suspicion);
+            }
+        }
+        // Those with the most crashes come first; the others may have company.
+        candidates.sort_by_key(|(runs, _)| *runs);
+        for upstream in candidates.into_iter().flat_map(|(_, upstreams)| upstreams) {
+            if self.isolated.len() < isolated_max(ledger.upstreams().len()) {
+                self.isolated.insert(upstream);
+            }
+        }
+    }
+
+    /// The members of a step with these indices; the others went through no crash.
+    fn members(
+        &self,
+        ledger: &'a WorkflowLedger,
+        step: &'a StepId,
+        indices: &[u32],
+        width: u32,
+    ) -> Members<'a> {
+        let mut members =
+            Members { job: &step.job, width, runs: BTreeMap::new(), crashes_max: 0, unresolved: 0 };
+        for index in indices {
+            let task = TaskId { step: step.clone(), index: *index };
+            let crashes = ledger.crashes().of(&task);
+            members.crashes_max = members.crashes_max.max(crashes.len());
+            let unresolved = self.unresolved.get(&task).copied().unwrap_or(0);
+            members.unresolved = members.unresolved.max(unresolved);
+            for crash in crashes {
+                members.runs.entry(crash.run).or_default().push(crash);
+            }
+        }
+        members
+    }
+
+    /// The upstreams on which a suspect runs that has not been cleared: one task of a step, or all members of a gang.
+    fn upstreams_of(
+        &self,
+        ledger: &'a WorkflowLedger,
+        step: &StepId,
+        index: Option<&u32>,
+        cleared_after: Duration,
+    ) -> Vec<&'a UpstreamName> {
+        let mut upstreams = Vec::new();
+        let Some(record) = ledger.step_record(step) else { return upstreams };
+        for (number, task) in (0_u32..).zip(&record.tasks) {
+            let TaskState::Running { upstream } = &task.state else { continue };
+            let id = TaskId { step: step.clone(), index: number };
+            let open = ledger.occupancy().get(upstream, &id);
+            let is_young = open.is_some_and(|o| self.now < o.since.after(cleared_after));
+            if is_young && index.is_none_or(|index| *index == number) {
+                upstreams.push(upstream);
             }
         }
         upstreams
--- a/crates/hg_policy/src/workflow/fleet_observations.rs
+++ b/crates/hg_policy/src/workflow/fleet_observations.rs
@@ -11,6 +11,8 @@
     pub excluded: BTreeSet<UpstreamName>,
     /// Upstreams that have announced that they leave, with the earliest time at which they do.
     pub leaving: BTreeMap<UpstreamName, Time>,
+    /// Upstreams that leave orders unanswered, with the time since when they give no sign of life.
+    pub silent: BTreeMap<UpstreamName, Time>,
     /// The hosts in the platform's list, as far as it was read.
     pub hosts: BTreeMap<HostName, HostReport>,
     /// Hosts that are about to change their pool.
--- a/crates/hg_policy/src/workflow/isolation.rs
+++ b/crates/hg_policy/src/workflow/isolation.rs
@@ -1,7 +1,7 @@
 //! Where suspects of a crash start: on upstreams on which nothing else runs.
 //!
 //! Handles suspects on a busy pool, where no upstream is empty by itself: some upstreams are left to drain for them. A
-//! suspect that has waited too long starts on the upstream with the fewest runs, since it may well be innocent.
+//! suspect that has waited too long starts like any other task, since it may well be innocent.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -18,10 +18,15 @@
 const SHARE_MAX_PERCENT: usize = 25;
 /// The same in a small pool, in upstreams.
 const SHARE_MIN: usize = 2;
-/// How long a task that went through one crash waits for an empty upstream.
-const EMPTY_WAIT_MAX: Duration = Duration::from_secs(4);
-/// The same after several crashes: on an upstream that it shares, another one would show nothing.
-const LONG_EMPTY_WAIT_MAX: Duration = Duration::from_secs(20);
+/// How long a task waits for an empty upstream after its first, its second and each later crash: the more there were, the less
+/// should run beside it, and on an upstream that it shares another one would show nothing.
+const EMPTY_WAIT_MAX: [Duration; 3] =
+    [Duration::from_secs(1), Duration::from_secs(8), Duration::from_secs(20)];
+
+/// How many upstreams of a pool may be kept for suspects.
+pub(crate) fn isolated_max(upstreams: usize) -> usize {
+    (upstreams * SHARE_MAX_PERCENT).div_ceil(100).max(SHARE_MIN)
+}
 
 /// The suspects among the steps that may start.
 #[derive(Debug, Default)]
@@ -44,8 +49,7 @@
     if guard.is_idle() {
         return suspects;
     }
-    let affected = guard.affected_steps();
-    for step in ready.iter_mut().filter(|step| affected.contains(&step.id)) {
+    for step in ready.iter_mut().filter(|step| guard.is_affected(&step.id)) {
         let suspicion = |index: u32| guard.suspicion(&step.id, index, step.spec.gang);
         let judged: Vec<(u32, Suspicion)> =
             step.waiting.iter().map(|index| (*index, suspicion(*index))).collect();
@@ -63,7 +67,7 @@
         if !isolated.is_empty() {
             let crashes = ledger.crashes().tasks().iter().filter(|(task, _)| task.step == step.id);
             let until = crashes.filter_map(|(_, crashes)| {
-                let wait = if crashes.len() > 1 { LONG_EMPTY_WAIT_MAX } else { EMPTY_WAIT_MAX };
+                let wait = EMPTY_WAIT_MAX[crashes.len().clamp(1, EMPTY_WAIT_MAX.len()) - 1];
                 Some(crashes.last()?.at.after(wait))
             });
             let until = until.max().unwrap_or_default();
@@ -81,7 +85,7 @@
 pub(crate) struct Isolation<'a, 'b> {
     pub(crate) now: Time,
     pub(crate) ledger: &'b WorkflowLedger,
-    pub(crate) guard: CrashGuard<'a>,
+    pub(crate) guard: &'b CrashGuard<'a>,
     /// How many upstreams may still be occupied or left to drain.
     budget: usize,
 }
@@ -90,12 +94,12 @@
     pub(crate) fn new(
         now: Time,
         ledger: &'b WorkflowLedger,
-        guard: CrashGuard<'a>,
+        guard: &'b CrashGuard<'a>,
         capacity: &CapacityMap<'_>,
     ) -> Self {
-        let usable = capacity.candidates().count();
-        let budget = (usable * SHARE_MAX_PERCENT).div_ceil(100).max(SHARE_MIN);
-        Self { now, ledger, guard, budget }
+        let isolated = guard.isolated().len();
+        let budget = isolated_max(capacity.candidates().count() + isolated);
+        Self { now, ledger, guard, budget: budget.saturating_sub(isolated) }
     }
 
     /// Places the suspects of a step, and excludes the upstreams that they get or wait for from the round.
@@ -105,20 +109,19 @@
         wait_until: Time,
         capacity: &mut CapacityMap<'_>,
     ) -> BTreeMap<u32, UpstreamName> {
-        let may_share = self.now >= wait_until;
         let scopes = self.scopes(step, capacity);
         let mut placed = BTreeMap::new();
         for scope in &scopes {
             placed = if step.spec.gang {
-                self.place_gang(step, scope, may_share, capacity)
+                self.place_gang(step, scope, false, capacity)
             } else {
-                self.place_each(step, scope, may_share, capacity)
+                self.place_each(step, scope, capacity)
             };
             if placed.len() == step.waiting.len() {
                 break;
             }
         }
-        let is_draining = placed.len() < step.waiting.len() && !may_share;
+        let is_draining = placed.len() < step.waiting.len() && self.now < wait_until;
         if let Some(scope) = scopes.first().filter(|_| is_draining) {
             self.drain(scope, step.waiting.len() - placed.len(), &placed, capacity);
         }
@@ -156,7 +159,7 @@
         (self.runs_on(candidate), self.guard.has_crashed(&candidate.report.name))
     }
 
-    /// Whether a suspect may start on an upstream. Doubtful gangs and those that have waited long may share it.
+    /// Whether a suspect may start on an upstream, which doubtful gangs may share.
     fn is_usable(&self, candidate: &Candidate<'_>, may_share: bool) -> bool {
         let is_kept = candidate.held != ResourceVector::default();
         may_share || (self.runs_on(candidate) == 0 && !is_kept)
@@ -171,7 +174,6 @@
         &self,
         step: &ReadyStep<'_>,
         able: &[Position],
-        may_share: bool,
         capacity: &CapacityMap<'_>,
     ) -> BTreeMap<u32, UpstreamName> {
         let one_at_a_time = self.guard.has_evidence(&step.id.job);
@@ -190,7 +192,7 @@
         };
         let counts = running_counts(step);
         let usable = able.iter().map(|position| capacity.at(*position)).filter(|candidate| {
-            self.is_usable(candidate, may_share)
+            self.is_usable(candidate, false)
                 && step.spec.claim().fits(&candidate.available())
                 && is_below_upstream_limit(step, &counts, &candidate.report.name)
         });
@@ -217,7 +219,9 @@
                 placed.insert(index, candidate.report.name.clone());
             }
         }
-        if placed.len() < step.waiting.len() {
+        let upstreams: BTreeSet<&UpstreamName> = placed.values().collect();
+        let is_within_budget = may_share || upstreams.len() <= self.budget;
+        if placed.len() < step.waiting.len() || !is_within_budget {
             placed.clear();
         }
         placed
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -109,6 +109,7 @@
     runs: RunTable<'a>,
     drains: DrainTimes<'a>,
     capacity: CapacityMap<'a>,
+    guard: CrashGuard<'a>,
     decisions: WorkflowDecisions,
 }
 
@@ -226,15 +227,15 @@
         capacity.mark_slower(self.speeds.slower(now));
         let decisions = WorkflowDecisions::default();
         let (runs, drains) = (RunTable::new(ledger), DrainTimes::new(now, ledger));
-        let mut round = Round { now, ledger, covered, runs, drains, capacity, decisions };
+        let guard = CrashGuard::new(now, ledger, &fleet.silent);
+        let mut round = Round { now, ledger, covered, runs, drains, capacity, guard, decisions };
         self.decide_stops(&mut round, fleet);
         round.runs.record_stops(self.stopping.iter());
         let mut ready = self.ready(&round);
-        let guard = CrashGuard::new(now, ledger);
-        let suspects = take_suspects(&guard, ledger, &mut ready);
+        let suspects = take_suspects(&round.guard, ledger, &mut ready);
         self.holds.drop_expired(now, &ready, &round.capacity);
         self.holds.apply_to(&mut round.capacity);
-        start_suspects(guard, suspects, &mut ready, &mut round);
+        start_suspects(suspects, &mut ready, &mut round);
         self.headroom.reserve(now, &round.runs, &mut round.capacity);
         let mut unplaced = Vec::new();
         for step in &ready {
@@ -284,9 +285,8 @@
             self.stop(run, StopReason::NoLongerNeeded, round);
         }
         // A suspect of a crash shows only to its end whether it is the cause.
-        let isolated = CrashGuard::new(now, ledger).isolated();
         for run in self.speeds.stragglers(now, ledger) {
-            if !isolated.contains(&run.upstream) {
+            if !round.guard.isolated().contains(&run.upstream) {
                 self.stop(run, StopReason::Straggler, round);
             }
         }
@@ -373,26 +373,24 @@
 
 /// Starts the suspects of crashes apart from everything else, and keeps other work off their upstreams.
 fn start_suspects<'a>(
-    guard: CrashGuard<'a>,
     suspects: Suspects<'a>,
     ready: &mut Vec<ReadyStep<'a>>,
     round: &mut Round<'a>,
 ) {
-    if guard.is_idle() {
+    if round.guard.is_idle() {
         return;
     }
-    let mut isolation = Isolation::new(round.now, round.ledger, guard, &round.capacity);
-    round.capacity.exclude(guard.isolated().into_iter());
-    let mut overdue = Vec::new();
-    for (step, wait_until) in suspects.steps {
+    let guard = std::mem::take(&mut round.guard);
+    let mut isolation = Isolation::new(round.now, round.ledger, &guard, &round.capacity);
+    round.capacity.exclude(guard.isolated().iter().copied());
+    for (mut step, wait_until) in suspects.steps {
         let placed = isolation.place(&step, wait_until, &mut round.capacity);
         start(&step, &placed, round);
-        if step.spec.gang && placed.is_empty() && round.now >= wait_until {
-            overdue.push(step);
+        step.waiting.retain(|index| !placed.contains_key(index));
+        if !step.waiting.is_empty() && round.now >= wait_until {
+            add_waiting(step, ready);
         }
     }
-    // A gang that finds no room apart from others has to compete for it with reservations and stops.
-    ready.extend(overdue);
     ready.sort_by(ReadyStep::order);
     ready.retain(|step| {
         let is_doubtful = suspects.doubtful.contains(&step.id);
@@ -405,6 +403,17 @@
     round.decisions.given_up = suspects.guilty;
 }
 
+/// Adds the waiting tasks of a step to those that start like any other.
+fn add_waiting<'a>(step: ReadyStep<'a>, ready: &mut Vec<ReadyStep<'a>>) {
+    match ready.iter_mut().find(|other| other.id == step.id) {
+        Some(other) => {
+            other.waiting.extend(step.waiting);
+            other.waiting.sort_unstable();
+        }
+        None => ready.push(step),
+    }
+}
+
 fn start(step: &ReadyStep<'_>, placed: &BTreeMap<u32, UpstreamName>, round: &mut Round<'_>) {
     let claim = step.spec.claim();
     for (index, upstream) in placed {
--- a/crates/hg_policy/tests/workflow/crashes.rs
+++ b/crates/hg_policy/tests/workflow/crashes.rs
@@ -140,6 +140,7 @@
     harness.apply(WorkflowCommand::UpstreamSilenced {
         name: start.upstream.clone(),
         incarnation: start.incarnation,
+        silent_since: Some(harness.now),
         runs: vec![run],
         at: harness.now,
     });
