--- a/crates/hg_cli/src/explain.rs
+++ b/crates/hg_cli/src/explain.rs
@@ -10,7 +10,8 @@
 use crate::log_line::{LogLine, read_lines};
 
 /// Events of an upstream that show why its runs ended.
-const UPSTREAM_EVENTS: [&str; 3] = ["order.failed", "upstream.registered", "upstream.gone"];
+const UPSTREAM_EVENTS: [&str; 4] =
+    ["order.failed", "upstream.registered", "upstream.gone", "upstream.crashed"];
 /// Events that show changes of leadership, which explain why nothing was decided for a while.
 const LEADERSHIP_EVENTS: [&str; 2] = ["lead.begin", "lead.end"];
 
@@ -79,6 +80,13 @@
         return format!("Rejected: {}.", line.text("reason").unwrap_or("no reason was logged"));
     }
     let state = last("workflow.ended").and_then(|line| line.text("state"));
+    if state == Some("failed")
+        && let Some(line) = last("task.given_up")
+    {
+        let (task, upstreams) = (line.text("task"), line.text("upstreams"));
+        let (task, upstreams) = (task.unwrap_or("a task"), upstreams.unwrap_or("its upstreams"));
+        return format!("Failed: {task} crashed {upstreams}.");
+    }
     if state == Some("failed") {
         let failures = history.iter().filter(|line| line.text("kind") == Some("Failed"));
         let at: Vec<&str> = failures.filter_map(|line| line.text("upstream")).collect();
--- a/crates/hg_cli/tests/explain.rs
+++ b/crates/hg_cli/tests/explain.rs
@@ -140,6 +140,20 @@
     Ok(())
 }
 
+#[test]
+fn explain_names_the_upstreams_that_a_task_crashed() -> eyre::Result<()> {
+    let log = [
+        accepted(1.0, "a"),
+        of_task(1.0, "run.placed", "a.0.0.0", ""),
+        line(3.0, "upstream.crashed", r#""upstream":"u0","runs":"a.0.0.0:1@300ms""#),
+        of_task(9.0, "task.given_up", "a.0.0.0", r#","upstreams":"u0 u1""#),
+        line(9.0, "workflow.ended", r#""job":"a","state":"failed""#),
+    ];
+    let output = explain_output("a", &log.join("\n"))?;
+    assert!(output.ends_with("Failed: a.0.0.0 crashed u0 u1.\n"), "{output}");
+    Ok(())
+}
+
 #[test]
 fn explain_day_of_empty_logs_says_that_nothing_was_accepted() -> eyre::Result<()> {
     assert!(explain_output("--day", "")?.starts_with("0 jobs accepted"));
