hg_control: a start that waited does not exceed a capacity that has shrunk meanwhile

What callers see: on a pool whose upstreams do not guard their capacity, an upstream that shrank while it was cut off is brought over its capacity once it is back (LIMIT), and the task that the operator's own process ran there suffers. Cause: a start that was placed before, and could not be sent, was repeated as soon as the upstream answered again, whoever led then. Nothing compared it with the capacity that the upstream reports now; placement is checked only when it is decided. Fix: on such a pool a start is sent only once a heartbeat of this term has told the capacity, that capacity is in the log, and the run fits beside the others that may be there; else it waits, or the run is given up as never started (a stop is sent first if an earlier start may have reached the upstream). For the same reason, an upstream whose last heartbeat reported another capacity than is registered gets no new work until the change is in the log.

--- a/crates/hg_control/src/workflow/dispatch.rs
+++ b/crates/hg_control/src/workflow/dispatch.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use hg_ledger::{LostRun, WorkflowLedger};
-use hg_model::{Checkpoint, StepSpec, TaskId, Term, Time, UpstreamName};
+use hg_model::{Checkpoint, ResourceVector, StepSpec, TaskId, Term, Time, UpstreamName};
 use hg_policy::{TicketCache, WorkflowBounds};
 
 use super::session::{RunSession, Session, StartStage, StopStage};
-use super::sessions::Work;
+use super::sessions::{Work, enforces_capacity};
 use super::{Order, OrderId, OrderKind};
 
 /// Timeout of starts, stops and changes of pace; upstreams answer within a few milliseconds.
@@ -36,6 +36,16 @@
     pub(super) bounds: &'a WorkflowBounds,
 }
 
+/// Whether a run fits on its upstream.
+enum StartRoom {
+    /// It does, or the upstream refuses it otherwise.
+    Free,
+    /// The upstream has not reported its capacity lately.
+    Unknown,
+    /// The capacity has shrunk since the run was placed.
+    Exceeded,
+}
+
 impl Dispatch<'_> {
     fn order(&mut self, session: &Session, kind: OrderKind, limit: Duration) -> OrderId {
         let id = OrderId(*self.next);
@@ -83,7 +93,14 @@
                 let id = self.order(session, kind, ANSWER_TIMEOUT);
                 update(session, &task, |run| run.stop = StopStage::Sent(id));
             } else if run.start == StartStage::Unsent && run.stop == StopStage::NotRequested {
-                self.start(session, ledger, &task, &run);
+                match self.start_room(session, ledger, &task) {
+                    StartRoom::Free => self.start(session, ledger, &task, &run),
+                    StartRoom::Unknown => {}
+                    StartRoom::Exceeded if run.may_exist() => {
+                        update(session, &task, |run| run.stop = StopStage::Requested);
+                    }
+                    StartRoom::Exceeded => lost.push(self.give_up(session, &task, &run)),
+                }
             }
         }
         let command = session.silenced(self.now, self.name, ledger, |task| silenced.contains(task));
@@ -109,6 +126,23 @@
         }
     }
 
+    /// Whether a run that was placed before, or by an earlier leader, still fits where it is to start.
+    fn start_room(&self, session: &Session, ledger: &WorkflowLedger, task: &TaskId) -> StartRoom {
+        let Some(report) = ledger.upstreams().get(self.name) else { return StartRoom::Unknown };
+        if enforces_capacity(ledger, self.name) {
+            return StartRoom::Free;
+        }
+        if !session.is_capacity_current(self.now, report.capacity, self.bounds.unresponsive_after())
+        {
+            return StartRoom::Unknown;
+        }
+        let open = || ledger.occupancy().runs(self.name);
+        let may_exist = |task: &TaskId| session.runs.get(task).is_some_and(RunSession::may_exist);
+        let counted = open().filter(|(other, _)| *other == task || may_exist(other));
+        let used = counted.fold(ResourceVector::default(), |used, (_, run)| used.plus(&run.claim));
+        if used.fits(&report.capacity) { StartRoom::Free } else { StartRoom::Exceeded }
+    }
+
     fn give_up(&self, session: &mut Session, task: &TaskId, run: &RunSession) -> LostRun {
         update(session, task, |run| run.record_loss_proposal(self.now));
         run.lost(task, self.name)
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -222,7 +222,7 @@
         if leadership.sessions.has_departed(&name, incarnation) {
             return Some(WorkflowReply::Noted);
         }
-        let is_latest = leadership.sessions.record_heartbeat(now, &name, incarnation, readings);
+        let is_latest = leadership.sessions.record_heartbeat(now, &report, readings);
         let workflows = self.ledger.workflows();
         let known = workflows.upstreams().get(&name);
         let report = match known.filter(|known| !is_latest && known.incarnation == incarnation) {
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use hg_ledger::{LostRun, SavedProgress, WorkflowCommand};
-use hg_model::{Checkpoint, ClockReading, Incarnation, RunNumber, TaskId, Time, UpstreamName};
+use hg_model::{
+    Checkpoint, ClockReading, Incarnation, ResourceVector, RunNumber, TaskId, Time, UpstreamName,
+};
 
 use super::OrderId;
 use super::dispatch::LISTING_WAIT;
@@ -162,6 +164,8 @@
     heartbeat_clock: Option<ClockReading>,
     /// When its last heartbeat of this term arrived.
     heartbeat_at: Option<Time>,
+    /// The capacity that the latest heartbeat of this term reported.
+    reported_capacity: Option<ResourceVector>,
     /// When it last listed its runs, which shows that this incarnation is still running.
     pub(super) listed_at: Option<Time>,
     /// When ends were proposed that are not in the log yet.
@@ -220,6 +224,7 @@
             acknowledging_upto: 0,
             heartbeat_clock: None,
             heartbeat_at: None,
+            reported_capacity: None,
             listed_at: None,
             ends_proposed_at: None,
             unanswered_in_a_row: 0,
@@ -351,9 +356,21 @@
         true
     }
 
-    /// Whether a heartbeat of this term arrived within a time.
-    pub(super) fn has_heartbeat(&self, now: Time, within: Duration) -> bool {
-        self.heartbeat_at.is_some_and(|at| now < at.after(within))
+    /// Records the capacity that the latest heartbeat reported.
+    pub(super) const fn record_capacity(&mut self, capacity: ResourceVector) {
+        self.reported_capacity = Some(capacity);
+    }
+
+    /// Whether a heartbeat arrived within a time, and the capacity that the last one reported is the registered one. A change
+    /// is reported before it is in the log.
+    pub(super) fn is_capacity_current(
+        &self,
+        now: Time,
+        registered: ResourceVector,
+        within: Duration,
+    ) -> bool {
+        let is_registered = self.reported_capacity.is_none_or(|reported| reported == registered);
+        is_registered && self.heartbeat_at.is_some_and(|at| now < at.after(within))
     }
 
     /// A lower bound of what its clock reads now.
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -51,11 +51,15 @@
     /// The observations of the upstreams on which scheduling decisions depend.
     pub(crate) fn fleet(&self, now: Time, ledger: &WorkflowLedger) -> FleetObservations {
         let silence_max = self.bounds.unresponsive_after();
+        let is_capacity_current = |name: &UpstreamName, session: &Session| {
+            let registered = ledger.upstreams().get(name).map(|report| report.capacity);
+            registered.is_some_and(|c| session.is_capacity_current(now, c, silence_max))
+        };
         let is_excluded = |name: &UpstreamName, session: &Session| {
             now < session.suspect_until
                 || now >= session.last_contact.after(silence_max)
                 || !session.has_clock()
-                || (!enforces_capacity(ledger, name) && !session.has_heartbeat(now, silence_max))
+                || (!enforces_capacity(ledger, name) && !is_capacity_current(name, session))
         };
         let excluded = self.sessions.iter().filter(|(name, s)| is_excluded(name, s));
         let leaving = self.sessions.iter().filter_map(|(n, s)| Some((n.clone(), s.leaves_at?)));
@@ -226,10 +230,10 @@
     pub(crate) fn record_heartbeat(
         &mut self,
         now: Time,
-        name: &UpstreamName,
-        incarnation: Incarnation,
+        report: &UpstreamReport,
         readings: HeartbeatReadings,
     ) -> bool {
+        let (name, incarnation) = (&report.name, report.incarnation);
         let known = self.sessions.get_mut(name);
         if let Some(session) = known.filter(|s| s.incarnation == incarnation) {
             if !session.has_clock() {
@@ -238,6 +242,7 @@
             let is_latest = session.record_heartbeat(now, readings.clock);
             if is_latest {
                 session.record_stay(now, readings.min_remaining_ms);
+                session.record_capacity(report.capacity);
             }
             return is_latest;
         }
@@ -354,7 +359,7 @@
 
 /// Whether an upstream refuses what exceeds its capacity. Otherwise its last heartbeat, which tells its capacity, must not be
 /// old.
-fn enforces_capacity(ledger: &WorkflowLedger, upstream: &UpstreamName) -> bool {
+pub(super) fn enforces_capacity(ledger: &WorkflowLedger, upstream: &UpstreamName) -> bool {
     let pool = ledger.upstreams().get(upstream).map(|report| &report.pool);
     let pool = pool.and_then(|pool| ledger.catalog()?.pool(pool));
     pool.is_none_or(|pool| pool.enforces_capacity)
--- a/crates/hg_control/tests/workflow_world/stand_in.rs
+++ b/crates/hg_control/tests/workflow_world/stand_in.rs
@@ -23,9 +23,19 @@
     /// Set once the run works; the members of a gang work once all of them have started.
     ends_at: Option<u64>,
     since: u64,
+    /// When the work began and how long it takes unless it is stopped.
+    work: Option<(u64, u64)>,
     kind: EndKind,
 }
 
+impl Run {
+    /// How much of the work is done, in percent.
+    fn percent(&self, now: u64) -> u32 {
+        let Some((began, work_ms)) = self.work else { return 0 };
+        u32::try_from((now - began).min(work_ms) * 100 / work_ms).expect("at most 100")
+    }
+}
+
 /// One incarnation of one upstream.
 #[derive(Debug)]
 pub struct StandIn {
@@ -129,9 +139,10 @@
     }
 
     /// Starts the work of a gang member once all members have started.
-    pub fn begin_work(&mut self, task: &TaskId, ends_at: u64, kind: EndKind) {
+    pub fn begin_work(&mut self, now: u64, task: &TaskId, work_ms: u64, kind: EndKind) {
         if let Some(run) = self.running.get_mut(task) {
-            run.ends_at = Some(ends_at);
+            run.ends_at = Some(now + work_ms);
+            run.work = Some((now, work_ms));
             run.kind = kind;
         }
     }
@@ -186,7 +197,7 @@
             OrderKind::Renew { lease_until, acknowledged, .. } => {
                 self.extend(clock, lease_until.map_or(0, |until| until.0));
                 self.forget(*acknowledged, oracle);
-                OrderResult::Listed(self.listing(clock))
+                OrderResult::Listed(self.listing(now, clock))
             }
         }
     }
@@ -222,8 +233,11 @@
         if !fits {
             oracle.exceeded_capacity(now, &self.name, task);
         }
-        let ends_at = (!oracle.is_gang(task)).then_some(now + work_ms);
-        self.running.insert(task.clone(), Run { run, claim, ends_at, since: now, kind });
+        // The members of a gang begin to work together.
+        let work = (!oracle.is_gang(task)).then_some((now, work_ms));
+        let ends_at = work.map(|(began, work_ms)| began + work_ms);
+        let run = Run { run, claim, ends_at, since: now, work, kind };
+        self.running.insert(task.clone(), run);
         OrderResult::Started(clock)
     }
 
@@ -238,12 +252,12 @@
         self.ended.retain(|end| end.number > acknowledged);
     }
 
-    fn listing(&self, clock: ClockReading) -> RunListing {
+    fn listing(&self, now: u64, clock: ClockReading) -> RunListing {
         let running = self.running.iter().map(|(task, run)| ListedRun {
             task: task.clone(),
             run: run.run,
             checkpoint: None,
-            percent: 0,
+            percent: run.percent(now),
             gauge: None,
         });
         RunListing {
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -616,12 +616,12 @@
             if members.len() < spec.tasks as usize {
                 continue;
             }
-            let ends_at = self.now + self.rng.random_range(self.run_ms.clone());
+            let work_ms = self.rng.random_range(self.run_ms.clone());
             let kind =
                 if self.chance(self.faults.failing_runs) { EndKind::Failed } else { EndKind::Done };
             for upstream in self.upstreams.values_mut() {
                 for member in &members {
-                    upstream.begin_work(member, ends_at, kind);
+                    upstream.begin_work(self.now, member, work_ms, kind);
                 }
             }
         }
