hg_link: a link at rest takes memory for 64 requests, not for 4,096

Cause: a connection allocates a map entry for each stream that its peer may open, in both directions, at its start. 4,096 requests and 4,096 messages were allowed: 1,009,821 bytes for both ends of a link at rest (links_at_rest_take_little_memory, failed before), times every link that an entry opens while it looks for the leader. Evidence before the change: resident size and files of each control process every half second, and a dump of the largest heap: 1 MB of text in 298 MB, the rest tables of stream numbers. Fix: 64 requests at first; the limit doubles once half of it is in flight, up to 4,096 as before, so that no request waits for it (link_carries_thousands_of_requests_at_once: 2,000 requests that are answered only once all are in flight). 256 messages, which are received one after the other anyway.

--- a/crates/hg_link/src/keys.rs
+++ b/crates/hg_link/src/keys.rs
@@ -18,6 +18,8 @@
 use rustls_pki_types::pem::PemObject as _;
 use rustls_pki_types::{CertificateDer, PrivateKeyDer};
 
+use crate::stream_limit::{MESSAGES_MAX, REQUESTS_AT_FIRST};
+
 /// The DNS name in every host's certificate, which the connecting side verifies.
 pub(crate) const SERVER_NAME: &str = "link.heathergrade";
 const ALPN: &[u8] = b"heathergrade/1";
@@ -26,8 +28,6 @@
 /// A link on which nothing arrives for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Most streams in each direction, and so most requests in flight, on one link.
-const STREAMS_MAX: u32 = 4_096;
 
 /// Why keys could not be created, read or used.
 #[derive(Debug, Display, Error)]
@@ -207,8 +207,8 @@
         quinn::IdleTimeout::try_from(IDLE_TIMEOUT).expect("the timeout is far below the maximum");
     transport.max_idle_timeout(Some(idle));
     transport.keep_alive_interval(Some(KEEP_ALIVE_INTERVAL));
-    transport.max_concurrent_bidi_streams(STREAMS_MAX.into());
-    transport.max_concurrent_uni_streams(STREAMS_MAX.into());
+    transport.max_concurrent_bidi_streams(REQUESTS_AT_FIRST.into());
+    transport.max_concurrent_uni_streams(MESSAGES_MAX.into());
     transport
 }
 
--- a/crates/hg_link/src/lib.rs
+++ b/crates/hg_link/src/lib.rs
@@ -19,6 +19,7 @@
 mod leader_search;
 mod link;
 mod request;
+mod stream_limit;
 mod view;
 mod workflow;
 
--- a/crates/hg_link/src/link.rs
+++ b/crates/hg_link/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use quinn::{Connection, RecvStream, SendStream};
@@ -9,12 +10,14 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
+use crate::stream_limit::{RequestInFlight, RequestLimit};
 use crate::{FRAME_MAX_BYTES, LinkCause, LinkError, LinkStep, decode, encode};
 
 /// A connection to another process. Clones share the connection.
 #[derive(Clone)]
 pub struct Link {
     connection: Connection,
+    limit: Arc<RequestLimit>,
 }
 
 impl fmt::Debug for Link {
@@ -28,6 +31,7 @@
     peer: SocketAddr,
     tx: SendStream,
     rx: RecvStream,
+    _in_flight: RequestInFlight,
 }
 
 impl fmt::Debug for Incoming {
@@ -37,8 +41,8 @@
 }
 
 impl Link {
-    pub(crate) const fn new(connection: Connection) -> Self {
-        Self { connection }
+    pub(crate) fn new(connection: Connection) -> Self {
+        Self { connection, limit: Arc::default() }
     }
 
     /// The peer's address.
@@ -103,7 +107,11 @@
         let peer = self.peer();
         let (tx, rx) =
             self.connection.accept_bi().await.map_err(LinkError::at(LinkStep::Stream, peer))?;
-        Ok(Incoming { peer, tx, rx })
+        let (in_flight, grown) = self.limit.count();
+        if let Some(max) = grown {
+            self.connection.set_max_concurrent_bi_streams(max.into());
+        }
+        Ok(Incoming { peer, tx, rx, _in_flight: in_flight })
     }
 
     /// Sends a one-way message.
