hg_policy: upstreams that fall silent or crash together make no suspects of what ran there

Cause: only the crash of a task that had run for a second was excused by crashes beside it, and silences were not excused at all. Fix: an upstream that fell silent together with two others does not put its runs in doubt, unless they had just started; and a crash together with five others is excused even for a task that had just started (a wide deadly step is judged by its next crashes).

--- a/crates/hg_control/src/workflow/crash_evidence.rs
+++ b/crates/hg_control/src/workflow/crash_evidence.rs
@@ -80,7 +80,7 @@
     /// Handles an upstream that is not registered: runs that its earlier incarnation had when it fell silent ended with
     /// that.
     pub(super) fn on_return(&mut self, now: Time, name: &UpstreamName, incarnation: Incarnation) {
-        let silenced = self.ledger.workflows().crashes().silenced(name);
+        let silenced = self.ledger.workflows().crashes().silenced_incarnation(name);
         let Some(earlier) = silenced.filter(|earlier| *earlier < incarnation) else { return };
         let command = WorkflowCommand::UpstreamCrashed {
             name: name.clone(),
--- a/crates/hg_ledger/src/workflow/crash.rs
+++ b/crates/hg_ledger/src/workflow/crash.rs
@@ -101,9 +101,9 @@
         self.tasks.is_empty() && self.silenced.is_empty()
     }
 
-    /// The runs whose upstreams fell silent, with the time since when they are.
-    pub fn silenced_runs(&self) -> impl Iterator<Item = (Time, &ExposedRun)> {
-        self.silenced.values().flat_map(|s| s.runs.iter().map(|run| (s.since, run)))
+    /// The upstreams that fell silent with runs of unknown fate: the time since when each is, and its runs.
+    pub fn silenced(&self) -> impl Iterator<Item = (&UpstreamName, Time, &[ExposedRun])> {
+        self.silenced.iter().map(|(name, silenced)| (name, silenced.since, &silenced.runs[..]))
     }
 
     /// The tasks that have gone through crashes and are not done, with these, the earliest first.
@@ -122,7 +122,7 @@
     }
 
     /// The incarnation of an upstream that fell silent with runs of unknown fate.
-    pub fn silenced(&self, upstream: &UpstreamName) -> Option<Incarnation> {
+    pub fn silenced_incarnation(&self, upstream: &UpstreamName) -> Option<Incarnation> {
         self.silenced.get(upstream).map(|silenced| silenced.incarnation)
     }
 
@@ -228,7 +228,7 @@
 
     /// Records that an incarnation was only cut off, or that it left as announced.
     pub(super) fn forget_silenced(&mut self, upstream: &UpstreamName, incarnation: Incarnation) {
-        if self.silenced(upstream) == Some(incarnation) {
+        if self.silenced_incarnation(upstream) == Some(incarnation) {
             self.silenced.remove(upstream);
         }
     }
--- a/crates/hg_policy/src/workflow/crash_guard.rs
+++ b/crates/hg_policy/src/workflow/crash_guard.rs
@@ -53,6 +53,8 @@
 const CORRELATED_WITHIN: Duration = Duration::from_millis(2_600);
 /// That many other upstreams have to crash at the same time for a common cause to be likely.
 const CORRELATED_MIN: u32 = 2;
+/// That many make it likely even for a task that had just been started.
+const CORRELATED_MANY: u32 = 5;
 /// A task that was started that shortly before its upstream crashed is suspected even if other upstreams crashed too.
 const JUST_STARTED: Duration = Duration::from_secs(1);
 /// How long after its last crash a task is given up: other upstreams that crashed at the same time may be back by then.
@@ -320,7 +322,8 @@
         };
         let silent = self.silent.iter().filter(is_silent_too).count();
         let silent = u32::try_from(silent).unwrap_or(u32::MAX);
-        !is_just_started && Self::correlated(crash, unexplained) + silent >= CORRELATED_MIN
+        let correlated = Self::correlated(crash, unexplained) + silent;
+        correlated >= if is_just_started { CORRELATED_MANY } else { CORRELATED_MIN }
     }
 }
 
@@ -355,15 +358,35 @@
             let at = crash_time(crash.silent_since, crash.at);
             guard.facts.push(Fact { crash, at, is_unexplained });
         }
-        for (silent_since, run) in crashes.silenced_runs() {
-            if now < silent_since.after(RESOLVED_AFTER) {
-                *guard.unresolved.entry(&run.task).or_insert(0) += 1;
+        for (upstream, since, runs) in crashes.silenced() {
+            let may_have_crashed = now < since.after(RESOLVED_AFTER);
+            let is_one_of_many =
+                guard.fell_silent_beside(ledger, upstream, since) >= CORRELATED_MIN;
+            for run in runs.iter().filter(|_| may_have_crashed) {
+                if !is_one_of_many || since.since(run.since) <= JUST_STARTED {
+                    *guard.unresolved.entry(&run.task).or_insert(0) += 1;
+                }
             }
         }
         guard.judge_all(ledger);
         guard
     }
 
+    /// How many other upstreams fell silent at the same time.
+    fn fell_silent_beside(
+        &self,
+        ledger: &WorkflowLedger,
+        upstream: &UpstreamName,
+        since: Time,
+    ) -> u32 {
+        let with_runs = ledger.crashes().silenced().map(|(name, at, _)| (name, at));
+        let silent = self.silent.iter().map(|(name, at)| (*name, **at));
+        let is_near = |at: Time| since.since(at).max(at.since(since)) <= CORRELATED_WITHIN;
+        let others = with_runs.chain(silent).filter(|(name, at)| *name != upstream && is_near(*at));
+        let others: BTreeSet<&UpstreamName> = others.map(|(name, _)| name).collect();
+        u32::try_from(others.len()).unwrap_or(u32::MAX)
+    }
+
     fn judge_all(&mut self, ledger: &'a WorkflowLedger) {
         let mut by_step: BTreeMap<&'a StepId, BTreeSet<u32>> = BTreeMap::new();
         for task in ledger.crashes().tasks().keys().chain(self.unresolved.keys().copied()) {
