--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -332,6 +332,12 @@
         trace(self.now, &format!("u{number} has {capacity}"));
     }
 
+    /// The leader's replicated state.
+    #[allow(dead_code, reason = "not every test that plays a world looks at its state")]
+    pub const fn ledger(&self) -> &Ledger {
+        self.core.ledger()
+    }
+
     /// Starts a new leader, which knows only what is in the log.
     pub fn change_leader(&mut self) {
         let storage = Storage::open(self.disk.clone()).expect("memory").expect("founded");
