hg_policy: upstreams that stay silent for long cost a round nothing

Each round compared each silent upstream with all others, also those that had been silent for ten minutes: a data centre of 275 upstreams that is lost costs 75,000 comparisons a round for that long. Only those of the last six seconds count, and the others beside each are found by its time.

--- a/crates/hg_policy/src/workflow/crash_guard.rs
+++ b/crates/hg_policy/src/workflow/crash_guard.rs
@@ -358,33 +358,36 @@
             let at = crash_time(crash.silent_since, crash.at);
             guard.facts.push(Fact { crash, at, is_unexplained });
         }
-        for (upstream, since, runs) in crashes.silenced() {
-            let may_have_crashed = now < since.after(RESOLVED_AFTER);
-            let is_one_of_many =
-                guard.fell_silent_beside(ledger, upstream, since) >= CORRELATED_MIN;
-            for run in runs.iter().filter(|_| may_have_crashed) {
-                if !is_one_of_many || since.since(run.since) <= JUST_STARTED {
-                    *guard.unresolved.entry(&run.task).or_insert(0) += 1;
-                }
-            }
-        }
+        guard.record_unresolved(ledger);
         guard.judge_all(ledger);
         guard
     }
 
-    /// How many other upstreams fell silent at the same time.
-    fn fell_silent_beside(
-        &self,
-        ledger: &WorkflowLedger,
-        upstream: &UpstreamName,
-        since: Time,
-    ) -> u32 {
-        let with_runs = ledger.crashes().silenced().map(|(name, at, _)| (name, at));
-        let silent = self.silent.iter().map(|(name, at)| (*name, **at));
-        let is_near = |at: Time| since.since(at).max(at.since(since)) <= CORRELATED_WITHIN;
-        let others = with_runs.chain(silent).filter(|(name, at)| *name != upstream && is_near(*at));
-        let others: BTreeSet<&UpstreamName> = others.map(|(name, _)| name).collect();
-        u32::try_from(others.len()).unwrap_or(u32::MAX)
+    /// Counts the upstreams that fell silent lately under each task. Those that fell silent together are not counted, unless the
+    /// task had just been started.
+    fn record_unresolved(&mut self, ledger: &'a WorkflowLedger) {
+        let silenced = ledger.crashes().silenced();
+        let recent: Vec<_> =
+            silenced.filter(|(_, since, _)| self.now < since.after(RESOLVED_AFTER)).collect();
+        if recent.is_empty() {
+            return;
+        }
+        let mut silent: BTreeMap<&UpstreamName, Time> =
+            self.silent.iter().map(|(name, since)| (*name, **since)).collect();
+        silent.extend(recent.iter().map(|(name, since, _)| (*name, *since)));
+        let mut times: Vec<Time> = silent.into_values().collect();
+        times.sort_unstable();
+        for (_, since, runs) in recent {
+            let first = times.partition_point(|at| at.after(CORRELATED_WITHIN) < since);
+            let end = times.partition_point(|at| *at <= since.after(CORRELATED_WITHIN));
+            // The upstream itself is one of them.
+            let others = end - first - 1;
+            for run in runs {
+                if others < CORRELATED_MIN as usize || since.since(run.since) <= JUST_STARTED {
+                    *self.unresolved.entry(&run.task).or_insert(0) += 1;
+                }
+            }
+        }
     }
 
     fn judge_all(&mut self, ledger: &'a WorkflowLedger) {
