--- a/crates/hg_e2e/tests/operator_status.rs
+++ b/crates/hg_e2e/tests/operator_status.rs
@@ -1,14 +1,18 @@
 //! The status of the control group that the command line shows to operators.
 
-use hg_e2e::Deployment;
+use hg_e2e::{Deployment, wait_until};
+
+/// Waits until the status has all of these parts: a leader that has just been elected does not know the others yet.
+async fn wait_for_status(deployment: &Deployment, parts: &[&str]) -> eyre::Result<()> {
+    let has_all = |status: String| parts.iter().all(|part| status.contains(part));
+    wait_until("the status", async || deployment.control_status().is_ok_and(has_all)).await
+}
 
 #[tokio::test(flavor = "multi_thread")]
 async fn control_status_goes_on_when_the_leader_is_lost() -> eyre::Result<()> {
     let mut deployment = Deployment::start(1).await?;
-    let before = deployment.control_status()?;
-    assert!(before.contains("leader c"), "{before}");
-    assert!(before.contains("3 entries, 1 upstreams"), "{before}");
-    assert!(before.contains("catalog: none yet"), "{before}");
+    let parts = ["leader c", "3 entries, 1 upstreams", "catalog: none yet"];
+    wait_for_status(&deployment, &parts).await?;
     let leader = deployment.leader(0).await?;
     deployment.kill(&format!("c{leader}"))?;
     let after = deployment.control_status()?;
