--- a/crates/hg_control/src/core.rs
+++ b/crates/hg_control/src/core.rs
@@ -5,11 +5,12 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use hg_ledger::{Applied, Command, Effect, Ledger, Outcome};
 use hg_link::{Directive, Reply, Request, decode, encode};
 use hg_model::{EntryName, JobId, Time};
-use hg_policy::{PolicyConfig, Scheduler, WorkflowBounds};
+use hg_policy::{PolicyConfig, Scheduler, WorkflowBounds, WorkflowPolicies};
 use hg_replica::{
     Disk, Entry, Index, Message, Payload, Replica, ReplicaId, Snapshot, Status, Storage,
     StorageError, Timing,
@@ -78,6 +79,11 @@
     pub policy: PolicyConfig,
     /// The time bounds for workflows.
     pub workflows: WorkflowBounds,
+    /// The optional policies for workflows.
+    pub policies: WorkflowPolicies,
+    /// Within this time of its acknowledgement the drain of a data centre has moved the work there; `None` if
+    /// data centres cannot be drained.
+    pub drain: Option<Duration>,
 }
 
 /// Why a command was proposed, and who is to be notified of its outcome.
--- a/crates/hg_control/src/run.rs
+++ b/crates/hg_control/src/run.rs
@@ -6,7 +6,7 @@
 
 use eyre::{WrapErr as _, eyre};
 use hg_link::{KeyFolder, LinkEndpoint};
-use hg_policy::WorkflowBounds;
+use hg_policy::{WorkflowBounds, WorkflowPolicies};
 use hg_replica::{ReplicaId, Snapshot, Storage, StorageError, Timing};
 use hg_settings::ControlSettings;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -54,6 +54,11 @@
     pub founders: Vec<Founder>,
     /// Settings for workflows.
     pub workflows: WorkflowBounds,
+    /// The optional policies for workflows.
+    pub policies: WorkflowPolicies,
+    /// Within this time the drain of a data centre has moved the work there; `None` if data centres cannot be
+    /// drained.
+    pub drain: Option<Duration>,
     /// How many files the process may have open.
     pub files_max: usize,
 }
@@ -76,7 +81,8 @@
     ///
     /// With the step that failed: keys, sockets or the disk.
     pub async fn start(parts: ControlParts, log: &Logger) -> eyre::Result<Self> {
-        let ControlParts { settings, drivers, founders, workflows, files_max } = parts;
+        let cfg = core_config(&parts);
+        let ControlParts { settings, drivers, founders, files_max, .. } = parts;
         let prometheus = PrometheusBuilder::new().install_recorder().wrap_err("metrics")?;
         describe_all();
         let keys = KeyFolder::new(&settings.keys);
@@ -85,7 +91,6 @@
         let storage = open_storage(&settings, &founders, log)?;
         let clock = Clock::new();
         let seed = getrandom::u64().map_err(|e| eyre!("random seed: {e}"))?;
-        let cfg = core_config(&settings, workflows);
         let core = Core::new(storage, cfg, log.clone(), clock.now(), seed);
         let id = core.id().clone();
         info!(log, "control: starting"; "event" => "control.start", "id" => %id);
@@ -164,9 +169,15 @@
 /// With the step that failed: keys, sockets or the disk.
 pub async fn run(settings: ControlSettings, log: Logger) -> eyre::Result<()> {
     let (drivers, founders) = (Drivers::default(), Vec::new());
-    let workflows = WorkflowBounds::default();
-    let files_max = files_limit();
-    let parts = ControlParts { settings, drivers, founders, workflows, files_max };
+    let parts = ControlParts {
+        settings,
+        drivers,
+        founders,
+        workflows: WorkflowBounds::default(),
+        policies: WorkflowPolicies::default(),
+        drain: None,
+        files_max: files_limit(),
+    };
     let mut process = ControlProcess::start(parts, &log).await?;
     let mut terminate = signal(SignalKind::terminate()).wrap_err("signals")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("signals")?;
@@ -185,7 +196,8 @@
     limit.and_then(|limit| usize::try_from(limit).ok()).unwrap_or(usize::MAX)
 }
 
-fn core_config(settings: &ControlSettings, workflows: WorkflowBounds) -> CoreConfig {
+fn core_config(parts: &ControlParts) -> CoreConfig {
+    let settings = &parts.settings;
     let agreement = &settings.agreement;
     let timing = Timing {
         heartbeat: Duration::from_millis(agreement.heartbeat_ms),
@@ -193,7 +205,14 @@
         lease: Duration::from_millis(agreement.lease_ms),
         ..Timing::default()
     };
-    CoreConfig { timing, limits: settings.limits, policy: settings.policy.clone(), workflows }
+    CoreConfig {
+        timing,
+        limits: settings.limits,
+        policy: settings.policy.clone(),
+        workflows: parts.workflows,
+        policies: parts.policies.clone(),
+        drain: parts.drain,
+    }
 }
 
 /// Opens the log; if it is missing or damaged, this replica starts as a new incarnation without a vote.
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -5,7 +5,7 @@
 
 use hg_ledger::{Command, WorkflowCommand, WorkflowEffect};
 use hg_model::{Term, Time};
-use hg_policy::{HostMove, RunStop, WorkflowBounds, WorkflowScheduler};
+use hg_policy::{HostMove, RunStop, WorkflowBounds, WorkflowPolicies, WorkflowScheduler};
 use hg_replica::Disk;
 use slog::{debug, info};
 
@@ -44,11 +44,17 @@
 }
 
 impl WorkflowLeadership {
-    pub(crate) fn new(now: Time, term: Term, sessions: Sessions, bounds: WorkflowBounds) -> Self {
+    pub(crate) fn new(
+        now: Time,
+        term: Term,
+        sessions: Sessions,
+        bounds: WorkflowBounds,
+        policies: WorkflowPolicies,
+    ) -> Self {
         let first_host_order_at = now.after(bounds.first_host_order_after());
         Self {
             sessions,
-            scheduler: WorkflowScheduler::new(bounds),
+            scheduler: WorkflowScheduler::new(bounds).with_policies(policies),
             platform_calls: PlatformCalls::new(first_host_order_at, term),
             broken_gangs: BrokenGangs::default(),
             pending_decisions: 0,
@@ -71,7 +77,7 @@
     pub(crate) fn start_workflow_leadership(&self, now: Time, term: Term) -> WorkflowLeadership {
         let bounds = self.cfg.workflows;
         let sessions = Sessions::new(now, term, bounds, self.ledger.workflows());
-        WorkflowLeadership::new(now, term, sessions, bounds)
+        WorkflowLeadership::new(now, term, sessions, bounds, self.cfg.policies.clone())
     }
 
     /// How many upstreams get no new work now; 0 unless this replica leads.
--- a/crates/hg_control/tests/new_leader.rs
+++ b/crates/hg_control/tests/new_leader.rs
@@ -15,7 +15,7 @@
     ListVersion, Lists, NotRunReason, OperationId, Plan, PlanName, RackName, Resources, Shape,
     Term, Time, UpstreamHeartbeat, UpstreamName, UpstreamSpec,
 };
-use hg_policy::{PolicyConfig, WorkflowBounds};
+use hg_policy::{PolicyConfig, WorkflowBounds, WorkflowPolicies};
 use hg_replica::{Configuration, Index, Peer, ReplicaId, Snapshot, Storage, Timing};
 use hg_settings::ControlLimits;
 use memory_disk::MemoryDisk;
@@ -46,6 +46,8 @@
             limits: ControlLimits::default(),
             policy: PolicyConfig::default(),
             workflows: WorkflowBounds::default(),
+            policies: WorkflowPolicies::default(),
+            drain: None,
         };
         let log = Logger::root(Discard, o!());
         Self { core: Core::new(storage, cfg, log, Time(now), 1), now, ticket: 0 }
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -18,7 +18,7 @@
     StepId, StepSpec, TaskId, Term, Time, UpstreamName, UpstreamReport, WorkflowSpec,
     WorkflowState,
 };
-use hg_policy::{PolicyConfig, WorkflowBounds};
+use hg_policy::{PolicyConfig, WorkflowBounds, WorkflowPolicies};
 use hg_replica::{Body, Configuration, Index, Message, Peer, ReplicaId, Snapshot, Storage, Timing};
 use hg_settings::{ControlLimits, LogFormat, LogLevel, LogSettings, new_log};
 use rand::{RngExt as _, SeedableRng as _};
@@ -782,6 +782,8 @@
         limits: ControlLimits::default(),
         policy: PolicyConfig::default(),
         workflows: bounds,
+        policies: WorkflowPolicies::default(),
+        drain: None,
     };
     Core::new(storage, cfg, logger(), Time(now), seed)
 }
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -26,6 +26,7 @@
 //! * `standby` borrows hosts and returns them (load: more work than a pool can hold, for a while).
 //! * [`WorkflowBounds`] holds the time bounds of the deployment, from which timeouts follow.
 //! * `admission` rejects jobs that can never run (load: jobs that no upstream can hold).
+//! * [`WorkflowPolicies`] names the optional policies that a deployment uses.
 //! * [`WorkflowScheduler`] combines them.
 
 mod admission;
@@ -41,6 +42,7 @@
 mod isolation;
 mod pace_controller;
 mod placement;
+mod policies;
 mod preemption;
 mod ready_steps;
 mod reservation;
@@ -55,6 +57,7 @@
 pub use bounds::{BoundError, WorkflowBounds};
 pub use fleet_observations::FleetObservations;
 pub use pace_controller::PaceChange;
+pub use policies::{UnknownPolicy, WorkflowPolicies, WorkflowPolicy};
 pub use scheduler::{RunStop, StopReason, WorkflowDecisions, WorkflowScheduler};
 pub use standby::HostMove;
 pub use ticket_cache::{AdviceRequest, TicketCache};
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -26,7 +26,7 @@
 use super::wave_scheduler::WaveScheduler;
 use super::{
     AdviceRequest, FleetObservations, HostMove, PaceChange, TicketCache, UpkeepOrder,
-    WorkflowBounds,
+    WorkflowBounds, WorkflowPolicies,
 };
 use crate::{HealthState, UpstreamHealth};
 
@@ -89,6 +89,8 @@
 #[derive(Debug)]
 pub struct WorkflowScheduler {
     bounds: WorkflowBounds,
+    #[allow(dead_code, reason = "each policy reads it as it is wired")]
+    policies: WorkflowPolicies,
     holds: Holds,
     /// Runs for which a stop was decided, with the time of that decision.
     stopping: BTreeMap<RunRef, Time>,
@@ -132,6 +134,7 @@
     pub fn new(bounds: WorkflowBounds) -> Self {
         Self {
             bounds,
+            policies: WorkflowPolicies::default(),
             holds: Holds::default(),
             stopping: BTreeMap::new(),
             health: UpstreamHealth::default(),
@@ -144,6 +147,13 @@
         }
     }
 
+    /// Sets the optional policies that it uses.
+    #[must_use]
+    pub fn with_policies(mut self, policies: WorkflowPolicies) -> Self {
+        self.policies = policies;
+        self
+    }
+
     /// Records the end of a run on an upstream. Only completed and failed runs count for the
     /// upstream's health.
     pub fn record_end(&mut self, now: Time, upstream: &UpstreamName, job: &JobId, kind: EndKind) {
