--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -63,7 +63,10 @@
             WorkflowCommand::Register(report) => {
                 info!(self.log, "workflow: upstream registered"; "event" => "upstream.registered",
                     "upstream" => %report.name, "incarnation" => report.incarnation.0,
-                    "rack" => %report.rack, "leaving" => report.leaving);
+                    "rack" => %report.rack, "leaving" => report.leaving,
+                    "accelerators" => report.capacity.accelerators,
+                    "millicores" => report.capacity.millicores,
+                    "memory_mib" => report.capacity.memory_mib);
             }
             WorkflowCommand::Deregister { name, incarnation, .. } => {
                 info!(self.log, "workflow: upstream gone"; "event" => "upstream.gone",
