--- a/crates/hg_cli/src/arguments.rs
+++ b/crates/hg_cli/src/arguments.rs
@@ -33,6 +33,7 @@
         .subcommand(Command::new("status").about("Shows the control group and the pool"))
         .subcommand(keys())
         .subcommand(control())
+        .subcommand(drain())
         .subcommand(
             Command::new("explain")
                 .about("Reads logs of all processes from standard input and shows a job's history")
@@ -202,22 +203,49 @@
         .subcommand(
             Command::new("status")
                 .about("Shows the control group, the pool and the catalog in force")
-                .arg(
-                    Arg::new("control")
-                        .long("control")
-                        .value_name("ADDRESS,...")
-                        .required(true)
-                        .value_delimiter(',')
-                        .value_parser(value_parser!(SocketAddr))
-                        .help("Link addresses of some control hosts"),
-                )
-                .arg(
-                    Arg::new("keys")
-                        .long("keys")
-                        .value_name("FOLDER")
-                        .required(true)
-                        .value_parser(value_parser!(PathBuf))
-                        .help("A folder with a key of this deployment"),
-                ),
+                .args(control_hosts()),
+        )
+}
+
+/// Where the control hosts are, and the key for links to them.
+fn control_hosts() -> [Arg; 2] {
+    [
+        Arg::new("control")
+            .long("control")
+            .value_name("ADDRESS,...")
+            .required(true)
+            .value_delimiter(',')
+            .value_parser(value_parser!(SocketAddr))
+            .help("Link addresses of some control hosts"),
+        Arg::new("keys")
+            .long("keys")
+            .value_name("FOLDER")
+            .required(true)
+            .value_parser(value_parser!(PathBuf))
+            .help("A folder with a key of this deployment"),
+    ]
+}
+
+fn drain() -> Command {
+    let data_centre = || {
+        Arg::new("data-centre")
+            .value_name("DATA_CENTRE")
+            .required(true)
+            .help("The data centre's name")
+    };
+    Command::new("drain")
+        .about("Drains a data centre of workflows; asks the control hosts directly over links")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("start")
+                .about("Starts a drain: nothing starts there any more, and what runs there moves")
+                .arg(data_centre())
+                .args(control_hosts()),
+        )
+        .subcommand(
+            Command::new("end")
+                .about("Ends a drain: the data centre gets work again")
+                .arg(data_centre())
+                .args(control_hosts()),
         )
 }
--- a/crates/hg_cli/src/control.rs
+++ b/crates/hg_cli/src/control.rs
@@ -14,11 +14,12 @@
 use slog::{Discard, Logger, o};
 use tokio::sync::mpsc;
 
+use crate::drain::print_drains;
 use crate::exit::Exit;
 use crate::upstreams::print_status;
 
 /// Time limit of a request to the leader, long enough for several elections on a busy machine.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// The entry name that this process gives to the control hosts. They send it no directives.
 const ENTRY_NAME: &str = "operator";
 /// The capacity of the channel for directives.
@@ -29,16 +30,17 @@
     let Some(("status", matches)) = matches.subcommand() else {
         return Err(eyre::eyre!("clap requires a command"));
     };
-    let hosts: Vec<SocketAddr> =
-        matches.get_many("control").into_iter().flatten().copied().collect();
-    let keys: PathBuf = matches.get_one("keys").cloned().unwrap_or_default();
-    let client = client(hosts, keys)?;
+    let client = client(matches)?;
     let status = status(&client).await;
     client.close().await;
     status
 }
 
-fn client(hosts: Vec<SocketAddr>, keys: PathBuf) -> eyre::Result<ControlClient> {
+/// A client of the control hosts that the arguments name.
+pub(crate) fn client(matches: &ArgMatches) -> eyre::Result<ControlClient> {
+    let hosts: Vec<SocketAddr> =
+        matches.get_many("control").into_iter().flatten().copied().collect();
+    let keys: PathBuf = matches.get_one("keys").cloned().unwrap_or_default();
     let any = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
     let endpoint = LinkEndpoint::connect_only(any, &KeyFolder::new(keys)).wrap_err("keys")?;
     let (directives, _) = mpsc::channel(DIRECTIVES_MAX);
@@ -58,5 +60,6 @@
         let version = catalog.map_or_else(|| "none yet".to_owned(), |version| version.to_string());
         println!("catalog: {version}");
     }
+    print_drains(client).await;
     Ok(Exit::Success)
 }
--- a/crates/hg_cli/src/main.rs
+++ b/crates/hg_cli/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod control;
 mod day_report;
+mod drain;
 mod exit;
 mod explain;
 mod jobs;
@@ -40,6 +41,7 @@
         Some(("status", _)) => upstreams::status(&client).await,
         Some(("keys", matches)) => keys::run(matches),
         Some(("control", matches)) => control::run(matches).await,
+        Some(("drain", matches)) => drain::run(matches).await,
         Some(("explain", matches)) => explain::run(matches),
         _ => Err(eyre::eyre!("clap requires a command")),
     }
--- a/crates/hg_control/src/call_limits.rs
+++ b/crates/hg_control/src/call_limits.rs
@@ -6,6 +6,9 @@
 pub const HEARTBEAT_LIMIT: Duration = Duration::from_millis(800);
 /// How long an operator's call waits for the leader: after 1 s the operator calls another host.
 pub const OPERATOR_LIMIT: Duration = Duration::from_millis(900);
+/// How long an operator's request to drain a data centre waits for the leader's reply, which follows once no start to it is in
+/// flight any more.
+pub const DRAIN_REQUEST_LIMIT: Duration = Duration::from_millis(2_000);
 /// A caller's deadline in milliseconds if its request has none.
 const CALLER_DEFAULT_MS: u64 = 3_000;
 /// The part of a caller's deadline that is reserved for returning the response, in milliseconds.
--- a/crates/hg_control/src/core.rs
+++ b/crates/hg_control/src/core.rs
@@ -2,14 +2,14 @@
 //!
 //! It does no I/O except through its [`Disk`]: [`Event`]s go in, [`Actions`] come out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use hg_ledger::{Applied, Command, Effect, Ledger, Outcome};
 use hg_link::{Directive, Reply, Request, decode, encode};
-use hg_model::{EntryName, JobId, Time};
+use hg_model::{DataCentreName, EntryName, JobId, Time};
 use hg_policy::{PolicyConfig, Scheduler, WorkflowBounds, WorkflowPolicies};
 use hg_replica::{
     Disk, Entry, Index, Message, Payload, Replica, ReplicaId, Snapshot, Status, Storage,
@@ -84,6 +84,8 @@
     /// Within this time of its acknowledgement the drain of a data centre has moved the work there; `None` if
     /// data centres cannot be drained.
     pub drain: Option<Duration>,
+    /// The data centres that the settings name; those of registered upstreams are known as well.
+    pub data_centres: BTreeSet<DataCentreName>,
 }
 
 /// Why a command was proposed, and who is to be notified of its outcome.
@@ -436,6 +438,10 @@
     /// Finishes a proposal that was applied: replies to its requester, if any.
     fn complete_proposal(&mut self, purpose: Purpose, outcome: &Outcome) {
         match purpose {
+            Purpose::Asked {
+                ticket,
+                reply: ReplyKind::Workflow(WorkflowReplyKind::DrainStarted(data_centre)),
+            } => self.acknowledge_drain(ticket, data_centre),
             Purpose::Asked { ticket, reply } => {
                 let reply = self.reply_for(reply, outcome);
                 self.actions.replies.push((ticket, reply));
--- a/crates/hg_control/src/core_loop.rs
+++ b/crates/hg_control/src/core_loop.rs
@@ -152,10 +152,12 @@
 
     fn perform(&mut self, actions: Actions) {
         self.outbox.send_messages(actions.messages);
+        // Before any reply: orders that wait for a connection must not leave after a drain is acknowledged.
+        self.outbox.close_to_starts(self.core.ledger().workflows().drains().active());
         // The process may have been suspended since the decision, so read the clock again.
         if self.core.can_propose(self.clock.now()) {
             self.outbox.send_directives(actions.directives);
-            let fleet = self.core.ledger().workflows().upstreams().len();
+            let fleet = self.core.ledger().workflows().upstreams();
             self.outbox.send_orders(actions.orders, fleet, &self.handle);
             self.outbox.call_platform(actions.platform_calls, &self.handle);
         } else {
--- a/crates/hg_control/src/leader_tasks.rs
+++ b/crates/hg_control/src/leader_tasks.rs
@@ -71,6 +71,7 @@
     fn end_leadership(&mut self) {
         info!(self.log, "control: no longer leader"; "event" => "lead.end",
             "term" => self.replica.term().0);
+        self.refer_drain_requests();
         self.leadership = None;
         self.workflow_leadership = None;
         self.fail_pending();
--- a/crates/hg_control/src/lib.rs
+++ b/crates/hg_control/src/lib.rs
@@ -25,12 +25,13 @@
 mod requests;
 mod run;
 mod snapshot;
+mod start_gate;
 mod views;
 mod workflow;
 
 pub use call_limits::{
-    CONTROL_DRAIN_LIMIT, DrainPlan, HEARTBEAT_LIMIT, NO_LEADER_RETRY_AFTER, OPERATOR_LIMIT,
-    caller_limit,
+    CONTROL_DRAIN_LIMIT, DRAIN_REQUEST_LIMIT, DrainPlan, HEARTBEAT_LIMIT, NO_LEADER_RETRY_AFTER,
+    OPERATOR_LIMIT, caller_limit,
 };
 pub use clock::Clock;
 pub use core::{Actions, Core, CoreConfig, Event, Ticket};
--- a/crates/hg_control/src/links.rs
+++ b/crates/hg_control/src/links.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hg_link::{Directive, Incoming, Link, LinkEndpoint, LinkError, PendingLink, Reply, Request};
-use hg_model::EntryName;
+use hg_model::{DataCentreName, EntryName, Time, UpstreamName, UpstreamReport};
 use hg_replica::{Message, ReplicaId};
 use serde::{Deserialize, Serialize};
 use slog::{Logger, debug, info, warn};
@@ -18,6 +18,7 @@
 
 use crate::core_loop::{CoreHandle, Input};
 use crate::order_lanes::OrderLanes;
+use crate::start_gate::{StartGate, StartPass};
 use crate::workflow::{
     Order, OrderKind, OrderReport, OrderResult, PlatformCall, PlatformDriver, UpstreamDriver,
 };
@@ -61,6 +62,7 @@
     entries: Mutex<BTreeMap<EntryName, Sender<Directive>>>,
     drivers: Drivers,
     lanes: Arc<OrderLanes>,
+    gate: Arc<StartGate>,
 }
 
 /// The drivers for upstreams and the platform; without a driver nothing is sent there.
@@ -86,23 +88,35 @@
     ) -> Self {
         let (peers, entries) = (Mutex::default(), Mutex::default());
         let lanes = Arc::new(OrderLanes::new(files_max));
-        let shared = Shared { endpoint, runtime, log, peers, entries, drivers, lanes };
+        let gate = Arc::new(StartGate::default());
+        let shared = Shared { endpoint, runtime, log, peers, entries, drivers, lanes, gate };
         Self { shared: Arc::new(shared) }
     }
 
     /// Sends orders to upstreams; the result of each is reported to the core.
     ///
-    /// `fleet` is the number of upstreams among which the process's files are divided.
-    pub(crate) fn send_orders(&self, orders: Vec<Order>, fleet: usize, core: &CoreHandle) {
-        self.shared.lanes.set_fleet(fleet);
+    /// `fleet` are the registered upstreams; the process's files are divided among them.
+    pub(crate) fn send_orders(
+        &self,
+        orders: Vec<Order>,
+        fleet: &BTreeMap<UpstreamName, UpstreamReport>,
+        core: &CoreHandle,
+    ) {
+        self.shared.lanes.set_fleet(fleet.len());
         let Some(upstreams) = &self.shared.drivers.upstreams else { return };
         for order in orders {
             let (upstreams, core) = (Arc::clone(upstreams), core.clone());
             let (lanes, log) = (Arc::clone(&self.shared.lanes), self.shared.log.clone());
-            self.shared.runtime.spawn(execute_order(upstreams, lanes, order, core, log));
+            let pass = StartPass::new(&self.shared.gate, &order, fleet);
+            self.shared.runtime.spawn(execute_order(upstreams, lanes, pass, order, core, log));
         }
     }
 
+    /// Sends no start to the upstreams of these data centres from now on, not even one that waits for a connection.
+    pub(crate) fn close_to_starts(&self, drained: &BTreeMap<DataCentreName, Time>) {
+        self.shared.gate.close(drained);
+    }
+
     /// Makes calls to the platform; the result of each is reported to the core.
     pub(crate) fn call_platform(&self, calls: Vec<PlatformCall>, core: &CoreHandle) {
         let Some(platform) = &self.shared.drivers.platform else { return };
@@ -167,6 +181,7 @@
 async fn execute_order(
     upstreams: Arc<dyn UpstreamDriver>,
     lanes: Arc<OrderLanes>,
+    pass: StartPass,
     order: Order,
     core: CoreHandle,
     log: Logger,
@@ -184,6 +199,10 @@
     } else {
         None
     };
+    if !pass.is_valid() {
+        report(&core, &log, OrderReport { id, upstream, result: OrderResult::Withdrawn });
+        return;
+    }
     let result = timeout(limit, upstreams.carry_out(order)).await;
     drop(lane);
     let result = match result {
--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 39] = [
+pub const METRICS: [Metric; 42] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -190,7 +190,7 @@
     metric(
         "hg_workflow_order_results",
         Counter,
-        "result: started, refused, stopped, listed, paced, fenced, unsent, other_life, unanswered",
+        "result: started, refused, stopped, listed, paced, fenced, unsent, withdrawn, other_life, unanswered",
         "orders",
         "Results of orders.",
     ),
@@ -229,6 +229,15 @@
         "calls",
         "Advice requests for where a step may run.",
     ),
+    metric("heathergrade_drains", Gauge, "", "data centres", "Data centres that are drained."),
+    metric("heathergrade_drain_runs_left", Gauge, "", "runs", "Open runs in drained data centres."),
+    metric(
+        "heathergrade_drain_shortage_accelerators",
+        Gauge,
+        "",
+        "accelerators",
+        "Guaranteed accelerators that the upstreams outside drained data centres lack.",
+    ),
 ];
 
 /// Describes all metrics to the recorder, with meaning and unit.
--- a/crates/hg_control/src/run.rs
+++ b/crates/hg_control/src/run.rs
@@ -1,11 +1,13 @@
 //! Starts and stops a control process: settings, disk, core, links, HTTP server and signals.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use eyre::{WrapErr as _, eyre};
 use hg_link::{KeyFolder, LinkEndpoint};
+use hg_model::DataCentreName;
 use hg_policy::{WorkflowBounds, WorkflowPolicies};
 use hg_replica::{ReplicaId, Snapshot, Storage, StorageError, Timing};
 use hg_settings::ControlSettings;
@@ -59,6 +61,8 @@
     /// Within this time the drain of a data centre has moved the work there; `None` if data centres cannot be
     /// drained.
     pub drain: Option<Duration>,
+    /// The data centres that can be drained, beside those of registered upstreams.
+    pub data_centres: BTreeSet<DataCentreName>,
     /// How many files the process may have open.
     pub files_max: usize,
 }
@@ -176,6 +180,7 @@
         workflows: WorkflowBounds::default(),
         policies: WorkflowPolicies::default(),
         drain: None,
+        data_centres: BTreeSet::new(),
         files_max: files_limit(),
     };
     let mut process = ControlProcess::start(parts, &log).await?;
@@ -212,6 +217,7 @@
         workflows: parts.workflows,
         policies: parts.policies.clone(),
         drain: parts.drain,
+        data_centres: parts.data_centres.clone(),
     }
 }
 
--- a/crates/hg_control/src/workflow/dispatch.rs
+++ b/crates/hg_control/src/workflow/dispatch.rs
@@ -13,7 +13,7 @@
 use super::{Order, OrderId, OrderKind};
 
 /// Timeout of starts, stops and changes of pace; upstreams answer within a few milliseconds.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long an upstream may delay a listing in which nothing has changed (long polling).
 pub(super) const LISTING_WAIT: Duration = Duration::from_millis(1_900);
 /// The same where best-effort tasks run beside tasks that serve users, whose measurements cover half a
@@ -77,6 +77,7 @@
         });
         let due: Vec<(TaskId, RunSession)> =
             due.map(|(task, run)| (task.clone(), run.clone())).collect();
+        let is_drained = ledger.is_drained(self.name);
         let mut silenced = BTreeSet::new();
         for (task, run) in due {
             let never_sent = !run.may_exist() && run.stop != StopStage::NotRequested;
@@ -93,6 +94,10 @@
                 let id = self.order(session, kind, ANSWER_TIMEOUT);
                 update(session, &task, |run| run.stop = StopStage::Sent(id));
             } else if run.start == StartStage::Unsent && run.stop == StopStage::NotRequested {
+                if is_drained {
+                    self.withdraw(session, &task, &run, lost);
+                    continue;
+                }
                 match self.start_room(session, ledger, &task) {
                     StartRoom::Free => self.start(session, ledger, &task, &run),
                     StartRoom::Unknown => {}
@@ -143,6 +148,22 @@
         if used.fits(&report.capacity) { StartRoom::Free } else { StartRoom::Exceeded }
     }
 
+    /// Closes a run whose start was not sent before its data centre was drained. If an earlier order for it may have been
+    /// received, it is stopped instead; what an earlier leader has ordered shows in the next listing.
+    fn withdraw(
+        &self,
+        session: &mut Session,
+        task: &TaskId,
+        run: &RunSession,
+        lost: &mut Vec<LostRun>,
+    ) {
+        if !run.may_exist() {
+            lost.push(self.give_up(session, task, run));
+        } else if run.unanswered_starts > 0 {
+            update(session, task, |run| run.stop = StopStage::Requested);
+        }
+    }
+
     fn give_up(&self, session: &mut Session, task: &TaskId, run: &RunSession) -> LostRun {
         update(session, task, |run| run.record_loss_proposal(self.now));
         run.lost(task, self.name)
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -10,6 +10,7 @@
 use slog::{debug, info};
 
 use super::broken_gangs::BrokenGangs;
+use super::drains::DrainWatch;
 use super::platform_calls::PlatformCalls;
 use super::sessions::{Sessions, Work};
 use super::telemetry;
@@ -32,6 +33,7 @@
     pub(crate) sessions: Sessions,
     pub(crate) scheduler: WorkflowScheduler,
     pub(crate) platform_calls: PlatformCalls,
+    pub(super) drains: DrainWatch,
     broken_gangs: BrokenGangs,
     /// Number of proposed commands with decisions that are not applied yet.
     pending_decisions: usize,
@@ -56,6 +58,7 @@
             sessions,
             scheduler: WorkflowScheduler::new(bounds).with_policies(policies),
             platform_calls: PlatformCalls::new(first_host_order_at, term),
+            drains: DrainWatch::new(now),
             broken_gangs: BrokenGangs::default(),
             pending_decisions: 0,
             changed: true,
@@ -97,6 +100,7 @@
         leadership.sessions.advance(now, ledger, leadership.scheduler.tickets(), &mut work);
         self.actions.platform_calls.extend(leadership.platform_calls.advance(now, ledger));
         self.carry_out_work(now, work);
+        self.send_drain_replies(now);
         self.decide_workflows(now);
         self.clean_up_workflows(now);
     }
@@ -165,6 +169,8 @@
         let quarantined =
             ledger.upstreams().keys().filter(|name| leadership.scheduler.is_quarantined(now, name));
         fleet.excluded.extend(quarantined.cloned());
+        fleet.drained = leadership.drains.bounds(now, ledger, self.cfg.drain);
+        fleet.cold = leadership.sessions.cold(now, ledger);
         fleet.hosts = leadership.platform_calls.hosts.clone();
         fleet.moving = leadership.platform_calls.moving();
         let started = Instant::now();
@@ -194,6 +200,7 @@
         for task in decisions.given_up {
             self.give_up_task(now, task);
         }
+        self.report_drains(now);
         let Some(leadership) = self.workflow_leadership.as_mut() else { return };
         if !decisions.starts.is_empty() {
             leadership.await_decision();
@@ -257,6 +264,7 @@
             | WorkflowEffect::Accepted(_)
             | WorkflowEffect::Catalog
             | WorkflowEffect::Wave(_) => {}
+            WorkflowEffect::Drain(data_centre) => self.on_drain_changed(data_centre),
         }
     }
 
--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -86,6 +86,8 @@
             // These were logged with their reasons when they were decided.
             WorkflowCommand::UpstreamCrashed { .. } | WorkflowCommand::GiveUp { .. } => {}
             WorkflowCommand::Forget { .. } => {}
+            // The effect is logged, if there is one.
+            WorkflowCommand::StartDrain { .. } | WorkflowCommand::EndDrain { .. } => {}
         }
     }
 }
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -5,12 +5,14 @@
 //! * [`PlatformCall`] and [`PlatformCallReport`] cross the [`PlatformDriver`], which connects to the platform that
 //!   owns the hosts.
 //! * `Session` tracks one incarnation of one upstream: its clock, its leases, its orders.
+//! * `drains` handles the drain of a data centre.
 //! * `Sessions` holds all of them; `dispatch` creates the orders that are due, `reports` applies their
 //!   results.
 
 mod broken_gangs;
 mod crash_evidence;
 mod dispatch;
+mod drains;
 mod leadership;
 mod log_lines;
 mod order;
--- a/crates/hg_control/src/workflow/order.rs
+++ b/crates/hg_control/src/workflow/order.rs
@@ -131,6 +131,8 @@
     /// The order was not sent, so it has no effect: the upstream cannot be reached, or other orders were in the
     /// way. Holds the cause.
     Unsent(String),
+    /// The start was not sent, so it has no effect: its upstream's data centre is drained.
+    Withdrawn,
     /// Another process answers at that address.
     OtherIncarnation,
     /// The outcome is unknown: the order may have been carried out, or may still be. Holds the cause.
--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -202,7 +202,10 @@
             work.other_incarnations.push(name.clone());
             work.commands.push(session.deregistration(now, name));
         }
-        OrderResult::Fenced | OrderResult::Listed(_) | OrderResult::Paced(_) => {
+        OrderResult::Fenced
+        | OrderResult::Listed(_)
+        | OrderResult::Paced(_)
+        | OrderResult::Withdrawn => {
             reset_for_retry(run, id);
         }
         OrderResult::Unsent(_) => {
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -5,8 +5,8 @@
 use hg_ledger::{Command, QueueTerms, WorkflowCommand};
 use hg_link::{CallerAction, CallerRequest, Reply, WorkflowReply, WorkflowRequest};
 use hg_model::{
-    Catalog, HeartbeatReadings, Incarnation, JobId, QueueSpec, Time, UpstreamName, UpstreamReport,
-    WaveNumber, WaveSpec, WorkflowSpec, WorkflowState,
+    Catalog, DataCentreName, HeartbeatReadings, Incarnation, JobId, QueueSpec, Time, UpstreamName,
+    UpstreamReport, WaveNumber, WaveSpec, WorkflowSpec, WorkflowState,
 };
 use hg_policy::admit;
 use hg_replica::Disk;
@@ -30,6 +30,8 @@
     Stored,
     /// An upstream's heartbeat or leave request was recorded.
     Noted,
+    /// The drain of the data centre is in force.
+    DrainStarted(DataCentreName),
 }
 
 impl<D: Disk> Core<D> {
@@ -48,8 +50,16 @@
             WorkflowRequest::StartWave(spec) => self.on_start_wave(now, ticket, spec),
             WorkflowRequest::WaveState(number) => Some(self.wave_reply(number)),
             WorkflowRequest::Heartbeat { report, readings } => {
-                self.on_heartbeat(now, ticket, report, readings)
+                self.on_heartbeat(now, ticket, report, readings, None)
             }
+            WorkflowRequest::ColdHeartbeat { report, readings, cold_left_ms } => {
+                self.on_heartbeat(now, ticket, report, readings, Some(cold_left_ms))
+            }
+            WorkflowRequest::StartDrain(data_centre) => {
+                self.on_start_drain(now, ticket, data_centre)
+            }
+            WorkflowRequest::EndDrain(data_centre) => self.on_end_drain(now, ticket, data_centre),
+            WorkflowRequest::Drains => Some(self.drains_reply(now)),
             WorkflowRequest::Leave { name, incarnation } => {
                 self.on_leave(now, ticket, name, incarnation)
             }
@@ -71,7 +81,7 @@
         }
     }
 
-    fn propose_workflow(
+    pub(super) fn propose_workflow(
         &mut self,
         now: Time,
         ticket: Ticket,
@@ -216,6 +226,7 @@
         ticket: Ticket,
         report: UpstreamReport,
         readings: HeartbeatReadings,
+        cold_left_ms: Option<u64>,
     ) -> Option<WorkflowReply> {
         let (name, incarnation) = (report.name.clone(), report.incarnation);
         let leadership = self.workflow_leadership.as_mut()?;
@@ -223,6 +234,9 @@
             return Some(WorkflowReply::Noted);
         }
         let is_latest = leadership.sessions.record_heartbeat(now, &report, readings);
+        if is_latest {
+            leadership.sessions.record_cold(now, &report, cold_left_ms);
+        }
         let workflows = self.ledger.workflows();
         let known = workflows.upstreams().get(&name);
         let report = match known.filter(|known| !is_latest && known.incarnation == incarnation) {
@@ -288,7 +302,7 @@
                 let state = self.ledger.workflows().state(id);
                 WorkflowReply::State(state.unwrap_or(WorkflowState::Cancelled))
             }
-            WorkflowReplyKind::Stored => WorkflowReply::Stored,
+            WorkflowReplyKind::Stored | WorkflowReplyKind::DrainStarted(_) => WorkflowReply::Stored,
             WorkflowReplyKind::Noted => WorkflowReply::Noted,
         }
     }
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -1,6 +1,6 @@
 //! The sessions of a leadership term: sends due orders to all upstreams and applies their results.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use hg_ledger::{LostRun, OpenRun, RunRef, WorkflowCommand, WorkflowLedger};
@@ -43,6 +43,8 @@
     departed: BTreeMap<UpstreamName, Incarnation>,
     /// Clock readings that arrived before their upstream's registration was in the log.
     early_clocks: BTreeMap<UpstreamName, (Incarnation, ClockReading, Time)>,
+    /// Until when upstreams are cold, by their last heartbeats.
+    cold_until: BTreeMap<UpstreamName, (Incarnation, Time)>,
     next_order: u64,
 }
 
@@ -73,6 +75,26 @@
         }
     }
 
+    /// The upstreams to which starts are in flight.
+    pub(super) fn starting(&self) -> BTreeSet<UpstreamName> {
+        let is_starting = |run: &RunSession| matches!(run.start, StartStage::Sent(_));
+        let starting = self.sessions.iter().filter(|(_, s)| s.runs.values().any(is_starting));
+        starting.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// The upstreams that are cold in data centres whose drain has ended.
+    pub(super) fn cold(&self, now: Time, ledger: &WorkflowLedger) -> BTreeSet<UpstreamName> {
+        let is_returning = |name: &UpstreamName, incarnation: Incarnation| {
+            ledger.upstreams().get(name).is_some_and(|report| {
+                report.incarnation == incarnation && ledger.drains().has_ended(&report.data_centre)
+            })
+        };
+        let cold = self.cold_until.iter().filter(|(name, (incarnation, until))| {
+            now < *until && is_returning(name, *incarnation)
+        });
+        cold.map(|(name, _)| name.clone()).collect()
+    }
+
     /// The session of an incarnation.
     pub(super) fn get(&self, name: &UpstreamName, incarnation: Incarnation) -> Option<&Session> {
         self.sessions.get(name).filter(|session| session.incarnation == incarnation)
@@ -115,6 +137,7 @@
             sessions: BTreeMap::new(),
             departed: BTreeMap::new(),
             early_clocks: BTreeMap::new(),
+            cold_until: BTreeMap::new(),
             next_order: 1,
         };
         for report in ledger.upstreams().values() {
@@ -172,6 +195,7 @@
     pub(crate) fn close(&mut self, name: &UpstreamName) {
         if let Some(session) = self.sessions.remove(name) {
             self.departed.insert(name.clone(), session.incarnation);
+            self.cold_until.remove(name);
         }
     }
 
@@ -202,6 +226,29 @@
         }
     }
 
+    /// Records how much longer an upstream is cold, by its latest heartbeat; `None` if it is warm.
+    pub(super) fn record_cold(
+        &mut self,
+        now: Time,
+        report: &UpstreamReport,
+        cold_left_ms: Option<u64>,
+    ) {
+        match cold_left_ms {
+            Some(left_ms) => {
+                let until = now.after(Duration::from_millis(left_ms));
+                self.cold_until.insert(report.name.clone(), (report.incarnation, until));
+            }
+            None => {
+                self.cold_until.remove(&report.name);
+            }
+        }
+    }
+
+    /// Records that a drain was started or ended, which changes what may be sent to the upstreams.
+    pub(super) fn touch_all(&mut self) {
+        self.sessions.values_mut().for_each(Session::touch);
+    }
+
     /// Requests a change of a run's pace.
     pub(crate) fn pace_run(&mut self, change: PaceChange) {
         let PaceChange { run: RunRef { upstream, task, run }, percent } = change;
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -81,6 +81,7 @@
         OrderResult::Listed(_) => "listed",
         OrderResult::Fenced => "fenced",
         OrderResult::Unsent(_) => "unsent",
+        OrderResult::Withdrawn => "withdrawn",
         OrderResult::OtherIncarnation => "other_life",
         OrderResult::Unanswered(_) => "unanswered",
     };
@@ -96,6 +97,14 @@
     metrics::counter!("hg_workflow_upkeeps", "stage" => stage).increment(1);
 }
 
+/// Records the drains in force, the runs that are open in their data centres, and the guaranteed accelerators that the
+/// others lack.
+pub(super) fn record_drains(count: usize, runs_left: u64, shortage: u64) {
+    metrics::gauge!("heathergrade_drains").set(count as f64);
+    metrics::gauge!("heathergrade_drain_runs_left").set(runs_left as f64);
+    metrics::gauge!("heathergrade_drain_shortage_accelerators").set(shortage as f64);
+}
+
 pub(super) fn record_advice(is_given: bool) {
     let result = if is_given { "given" } else { "failed" };
     metrics::counter!("hg_workflow_advice", "result" => result).increment(1);
--- a/crates/hg_control/tests/new_leader.rs
+++ b/crates/hg_control/tests/new_leader.rs
@@ -4,7 +4,7 @@
 #[path = "workflow_world/memory_disk.rs"]
 mod memory_disk;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use hg_control::{Core, CoreConfig, Event, Ticket};
@@ -48,6 +48,7 @@
             workflows: WorkflowBounds::default(),
             policies: WorkflowPolicies::default(),
             drain: None,
+            data_centres: BTreeSet::new(),
         };
         let log = Logger::root(Discard, o!());
         Self { core: Core::new(storage, cfg, log, Time(now), 1), now, ticket: 0 }
--- a/crates/hg_control/tests/snapshot.rs
+++ b/crates/hg_control/tests/snapshot.rs
@@ -83,6 +83,24 @@
     assert_eq!(decode_ledger(&encode(&ledger)).expect("readable"), ledger);
 }
 
+/// A new leader that starts from a snapshot must not start work in a data centre that is drained.
+#[test]
+fn decode_ledger_keeps_drains_and_reads_a_snapshot_without_them() {
+    let mut drained = ledger(true);
+    let data_centre = DataCentreName::new("north").expect("a good name");
+    drained.apply(Command::Workflow(WorkflowCommand::StartDrain {
+        data_centre: data_centre.clone(),
+        at: Time(2_000),
+    }));
+    let read = decode_ledger(&encode_ledger(&drained)).expect("readable");
+    assert_eq!(read, drained);
+    assert!(read.workflows().drains().is_drained(&data_centre));
+    let without = ledger(true);
+    let mut earlier = encode(&without);
+    earlier.extend(encode(without.workflows().crashes()));
+    assert_eq!(decode_ledger(&earlier).expect("readable"), without);
+}
+
 #[test]
 fn earlier_version_reads_a_snapshot_with_crashes() {
     let read: Ledger = decode(&encode_ledger(&ledger(true))).expect("readable");
@@ -105,4 +123,8 @@
     let (silent_since, runs) = (None, Vec::new());
     let crashed = WorkflowCommand::UpstreamCrashed { name, incarnation, silent_since, runs, at };
     assert_eq!(position(&crashed), [VERSION, 12]);
+    let data_centre = DataCentreName::new("north").expect("a good name");
+    let start = WorkflowCommand::StartDrain { data_centre: data_centre.clone(), at };
+    assert_eq!(position(&start), [VERSION, 15]);
+    assert_eq!(position(&WorkflowCommand::EndDrain { data_centre, at }), [VERSION, 16]);
 }
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -141,6 +141,50 @@
     });
 }
 
+/// The drain of a data centre must hold against every start that was decided before, whatever becomes of its orders.
+#[test]
+fn workflows_end_despite_drains() {
+    run_seeds(Faults { drains: 250, ..Faults::default() });
+}
+
+#[test]
+fn workflows_end_despite_drains_and_faults() {
+    run_seeds(Faults {
+        drains: 250,
+        lost_orders: 30,
+        late_orders: 50,
+        lost_answers: 30,
+        unsent_orders: 50,
+        disconnects: 100,
+        crashes: 50,
+        leader_changes: 100,
+        lease_gaps: 100,
+        cancels: 100,
+        failing_runs: 50,
+        ..Faults::default()
+    });
+}
+
+/// Both data centres work again after a drain, and while it is in force one of them is empty within its bound.
+#[test]
+fn drained_data_centre_is_empty_within_the_bound() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, Faults::default());
+        for number in 0..JOBS {
+            world.submit(number);
+        }
+        world.run(1_000);
+        world.want_drain(true);
+        world.run(100);
+        assert!(world.is_drain_acknowledged(), "seed {seed}: not acknowledged within 100 ms");
+        world.run(5_000);
+        assert_eq!(world.running_in_second_rack(), 0, "seed {seed}");
+        world.want_drain(false);
+        world.run(1_000);
+        assert!(world.running_in_second_rack() > 0, "seed {seed}: work returns");
+    }
+}
+
 #[test]
 fn workflows_end_despite_permanently_lost_upstreams() {
     run_seeds(Faults { permanent_losses: 200, ..Faults::default() });
--- a/crates/hg_control/tests/workflow_world/oracle.rs
+++ b/crates/hg_control/tests/workflow_world/oracle.rs
@@ -34,6 +34,8 @@
     late_starts: BTreeMap<TaskId, u32>,
     /// Until when a smaller capacity of an upstream may be unknown to the leader.
     shrunk_until: BTreeMap<UpstreamName, u64>,
+    /// Upstreams to which no start may be ordered: the drain of their data centre is acknowledged.
+    drained: BTreeSet<UpstreamName>,
     /// Number of runs whose lease expired, and of tasks whose work was done again.
     pub wasted: u32,
 }
@@ -55,6 +57,22 @@
         self.spec(task).steps[task.step.step as usize].gang
     }
 
+    /// Records that the drain of a data centre with these upstreams was acknowledged.
+    pub fn drain_acknowledged(&mut self, upstreams: BTreeSet<UpstreamName>) {
+        self.drained = upstreams;
+    }
+
+    /// Records that the end of the drain was requested.
+    pub fn drain_may_end(&mut self) {
+        self.drained.clear();
+    }
+
+    /// Checks a start that the leader orders.
+    pub fn start_ordered(&self, upstream: &UpstreamName, task: &TaskId, run: RunNumber) {
+        let is_drained = self.drained.contains(upstream);
+        assert!(!is_drained, "{task} run {run} is started at {upstream}, which is drained");
+    }
+
     /// Records that an upstream started a run.
     pub fn started(
         &mut self,
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -76,12 +76,16 @@
     pub capacity_changes: u32,
     /// Heartbeats that arrive a second time, seconds later.
     pub late_heartbeats: u32,
+    /// Chance each second that the operators start to drain the data centre of the second rack, or end that.
+    pub drains: u32,
 }
 
 /// How long after its start a deadly task crashes its upstream, in milliseconds.
 const DEADLY_AFTER_MS: Range<u64> = 0..400;
 /// How long a late heartbeat is on its way, in milliseconds.
 const HEARTBEAT_DELAY_MS: Range<u64> = 1_600..6_000;
+/// How long the operators wait before they repeat a request about a drain, in milliseconds.
+const DRAIN_RETRY_MS: u64 = 500;
 /// How long an upstream is down after a crash, in milliseconds.
 const DOWN_MS: Range<u64> = 1_000..4_000;
 /// How long the leader may start work in capacity that an upstream no longer has, beyond a heartbeat, in
@@ -138,6 +142,10 @@
     step_time: Duration,
     /// How long the core took for each step.
     steps: Vec<Duration>,
+    /// Whether the operators want the data centre of the second rack drained, and whether that is acknowledged.
+    wanted_drain: (bool, bool),
+    /// Pending requests of the operators, with what they ask for.
+    drain_tickets: BTreeMap<Ticket, bool>,
     /// A digest of all orders so far.
     orders_digest: DefaultHasher,
 }
@@ -189,6 +197,8 @@
             run_ms: 200..3_000,
             step_time: Duration::ZERO,
             steps: Vec::new(),
+            wanted_drain: (false, true),
+            drain_tickets: BTreeMap::new(),
             orders_digest: DefaultHasher::new(),
         };
         for number in 0..upstreams {
@@ -207,6 +217,7 @@
             self.inject_faults();
             self.crash_doomed_upstreams();
             self.restart_upstreams();
+            self.repeat_drain_request();
             self.advance_upstreams();
             self.send_heartbeats();
             let peer_messages = std::mem::take(&mut self.peer_messages).into_iter();
@@ -266,6 +277,7 @@
 
     /// Injects no more faults from now on, except runs that fail.
     pub fn stop_faults(&mut self) {
+        self.want_drain(false);
         self.faults = Faults { failing_runs: self.faults.failing_runs, ..Faults::default() };
         for number in 0..UPSTREAMS {
             self.set_capacity(number, HOST);
@@ -286,6 +298,12 @@
         self.upstreams.values().map(|upstream| upstream.all_runs().len()).sum()
     }
 
+    /// Number of runs in progress in the data centre of the second rack.
+    pub fn running_in_second_rack(&self) -> usize {
+        let there = (PER_RACK..2 * PER_RACK).filter_map(|number| self.upstreams.get(&name(number)));
+        there.map(|upstream| upstream.all_runs().len()).sum()
+    }
+
     /// Records that the last leases granted before the end of the faults have expired.
     pub fn end_last_leases(&mut self) {
         self.oracle.end_faults();
@@ -345,6 +363,7 @@
         self.core = core(storage, self.bounds, self.now, seed);
         trace(self.now, "another leader");
         self.pending_tickets.clear();
+        self.drain_tickets.clear();
         self.in_flight.retain(|_, item| matches!(item, InFlight::Order(..)));
     }
 
@@ -494,12 +513,63 @@
         self.step(vec![Event::Request { ticket, req: Request::Workflow(req) }]);
     }
 
+    /// Makes the operators start or end the drain of the data centre of the second rack; they ask until that is
+    /// acknowledged.
+    pub fn want_drain(&mut self, is_wanted: bool) {
+        if self.wanted_drain.0 == is_wanted {
+            return;
+        }
+        trace(self.now, &format!("drain wanted: {is_wanted}"));
+        self.wanted_drain = (is_wanted, false);
+        if !is_wanted {
+            // The end may take effect before it is acknowledged.
+            self.oracle.drain_may_end();
+        }
+        self.request_drain();
+    }
+
+    /// Whether the last wish of the operators about the drain is acknowledged.
+    pub const fn is_drain_acknowledged(&self) -> bool {
+        self.wanted_drain.1
+    }
+
+    fn repeat_drain_request(&mut self) {
+        if !self.wanted_drain.1 && self.now.is_multiple_of(DRAIN_RETRY_MS) {
+            self.request_drain();
+        }
+    }
+
+    fn request_drain(&mut self) {
+        self.ticket += 1;
+        let (ticket, is_start) = (Ticket(self.ticket), self.wanted_drain.0);
+        self.drain_tickets.insert(ticket, is_start);
+        let req = if is_start { WorkflowRequest::StartDrain } else { WorkflowRequest::EndDrain };
+        let req = Request::Workflow(req(data_centre(PER_RACK)));
+        self.step(vec![Event::Request { ticket, req }]);
+    }
+
+    fn on_drain_reply(&mut self, is_start: bool, reply: &Reply) {
+        if *reply != Reply::Workflow(WorkflowReply::Stored) || self.wanted_drain.0 != is_start {
+            return;
+        }
+        self.wanted_drain.1 = true;
+        if is_start {
+            trace(self.now, "drain acknowledged");
+            let there = (PER_RACK..2 * PER_RACK).map(name);
+            self.oracle.drain_acknowledged(there.collect());
+        }
+    }
+
     fn step(&mut self, events: Vec<Event>) {
         let started = Instant::now();
         let actions = self.core.handle(Time(self.now), events).expect("memory");
         self.steps.push(started.elapsed());
         self.core.record_step_time(Time(self.now), self.step_time);
         for (ticket, reply) in actions.replies {
+            if let Some(is_start) = self.drain_tickets.remove(&ticket) {
+                self.on_drain_reply(is_start, &reply);
+                continue;
+            }
             let Some(id) = self.pending_tickets.remove(&ticket) else { continue };
             let Reply::Workflow(reply) = reply else { continue };
             match reply {
@@ -541,6 +611,9 @@
     }
 
     fn send(&mut self, order: Order) {
+        if let OrderKind::Start { task, run, .. } = &order.kind {
+            self.oracle.start_ordered(&order.upstream, task, *run);
+        }
         (self.now, order.upstream.as_str(), format!("{:?}", order.kind))
             .hash(&mut self.orders_digest);
         let limit = u64::try_from(order.limit.as_millis()).expect("a short limit");
@@ -765,6 +838,9 @@
             );
             self.set_capacity(number, capacity);
         }
+        if self.chance(self.faults.drains) {
+            self.want_drain(!self.wanted_drain.0);
+        }
         if self.chance(self.faults.leader_changes) {
             self.change_leader();
         }
@@ -783,7 +859,8 @@
         policy: PolicyConfig::default(),
         workflows: bounds,
         policies: WorkflowPolicies::default(),
-        drain: None,
+        drain: Some(Duration::from_secs(5)),
+        data_centres: BTreeSet::new(),
     };
     Core::new(storage, cfg, logger(), Time(now), seed)
 }
@@ -845,6 +922,11 @@
     UpstreamName::new(format!("u{number}")).expect("a good name")
 }
 
+/// The data centre of an upstream: each rack is in one of its own.
+fn data_centre(number: u32) -> DataCentreName {
+    DataCentreName::new(format!("dc{}", number / PER_RACK)).expect("a good name")
+}
+
 fn report(upstream: &StandIn) -> UpstreamReport {
     let number: u32 = upstream.name.as_str()[1..].parse().expect("named by number");
     let rack = format!("r{}", number / PER_RACK);
@@ -854,7 +936,7 @@
         address: format!("127.0.0.1:{}", 9_000 + number).parse().expect("an address"),
         host: None,
         pool: PoolName::new("pool").expect("a good name"),
-        data_centre: DataCentreName::new("north").expect("a good name"),
+        data_centre: data_centre(number),
         rack: RackName::new(&rack).expect("a good name"),
         labels: vec![
             Label::new("a").expect("a good name"),
--- a/crates/hg_ledger/src/ledger.rs
+++ b/crates/hg_ledger/src/ledger.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Command, Crashes, ENDED_MAX, ENDED_WITH_NOTES_MAX, Effect, EndedJob, FAILURES_MAX, Job,
+    Command, Crashes, Drains, ENDED_MAX, ENDED_WITH_NOTES_MAX, Effect, EndedJob, FAILURES_MAX, Job,
     JobEvent, ListConflict, OPERATIONS_MAX, Outcome, REFUSALS_MAX, WorkflowLedger,
 };
 
@@ -119,6 +119,11 @@
         self.workflows.restore_crashes(crashes);
     }
 
+    /// Restores the drains of data centres, which a snapshot keeps apart.
+    pub fn restore_drains(&mut self, drains: Drains) {
+        self.workflows.restore_drains(drains);
+    }
+
     /// Applies one command of the log. A command that no longer applies changes nothing.
     pub fn apply(&mut self, command: Command) -> Applied {
         match command {
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -1,8 +1,9 @@
 //! The commands of the replicated log about workflows.
 
 use hg_model::{
-    AccountName, Catalog, Checkpoint, HostName, Incarnation, JobId, RunEnd, RunNumber, StepId,
-    TaskId, Time, UpstreamName, UpstreamReport, WaveNumber, WaveSpec, WorkflowSpec,
+    AccountName, Catalog, Checkpoint, DataCentreName, HostName, Incarnation, JobId, RunEnd,
+    RunNumber, StepId, TaskId, Time, UpstreamName, UpstreamReport, WaveNumber, WaveSpec,
+    WorkflowSpec,
 };
 use serde::{Deserialize, Serialize};
 
@@ -177,4 +178,18 @@
         /// When it was decided.
         at: Time,
     },
+    /// Starts the drain of a data centre: no run starts there until the drain ends.
+    StartDrain {
+        /// The data centre.
+        data_centre: DataCentreName,
+        /// When it was decided.
+        at: Time,
+    },
+    /// Ends the drain of a data centre.
+    EndDrain {
+        /// The data centre.
+        data_centre: DataCentreName,
+        /// When it was decided.
+        at: Time,
+    },
 }
--- a/crates/hg_ledger/src/workflow/effect.rs
+++ b/crates/hg_ledger/src/workflow/effect.rs
@@ -1,6 +1,6 @@
 //! What a command changed in the state of workflows, so that a leader can update its indices.
 
-use hg_model::{JobId, RunNumber, TaskId, UpstreamName, WaveNumber};
+use hg_model::{DataCentreName, JobId, RunNumber, TaskId, UpstreamName, WaveNumber};
 
 /// One run at one upstream.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -34,4 +34,6 @@
     Catalog,
     /// A maintenance wave was started, or the stage of one of its hosts was reported.
     Wave(WaveNumber),
+    /// The drain of a data centre was started or ended.
+    Drain(DataCentreName),
 }
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -9,9 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Crashes, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun, QueueTerms,
-    RunRef, RunStart, SavedProgress, StepRecord, TaskState, Waves, Workflow, WorkflowCommand,
-    WorkflowEffect, WorkflowPhase,
+    Crashes, Drains, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun,
+    QueueTerms, RunRef, RunStart, SavedProgress, StepRecord, TaskState, Waves, Workflow,
+    WorkflowCommand, WorkflowEffect, WorkflowPhase,
 };
 
 /// Catalog, registered upstreams, workflows, open runs and maintenance waves.
@@ -27,6 +27,9 @@
     /// Kept apart in snapshots, so that those of versions without it can still be read.
     #[serde(skip)]
     pub(super) crashes: Crashes,
+    /// Kept apart in snapshots as well.
+    #[serde(skip)]
+    drains: Drains,
 }
 
 /// Fewer crashes of upstreams under a task never fail its workflow.
@@ -93,6 +96,17 @@
         &self.crashes
     }
 
+    /// The drains of data centres.
+    pub const fn drains(&self) -> &Drains {
+        &self.drains
+    }
+
+    /// Whether an upstream is registered in a drained data centre.
+    pub fn is_drained(&self, upstream: &UpstreamName) -> bool {
+        let report = self.upstreams.get(upstream);
+        report.is_some_and(|report| self.drains.is_drained(&report.data_centre))
+    }
+
     /// When the oldest retained workflow in its final state ended; `None` if none is retained.
     pub fn oldest_end_time(&self) -> Option<Time> {
         self.ended.get(self.ended_order.front()?).map(|ended| ended.at)
@@ -159,6 +173,16 @@
                     self.end_early(&task.step.job, WorkflowState::Failed, at, &mut effects);
                 }
             }
+            WorkflowCommand::StartDrain { data_centre, at } => {
+                if self.drains.start(&data_centre, at) {
+                    effects.push(WorkflowEffect::Drain(data_centre));
+                }
+            }
+            WorkflowCommand::EndDrain { data_centre, at } => {
+                if self.drains.end(&data_centre, at) {
+                    effects.push(WorkflowEffect::Drain(data_centre));
+                }
+            }
         }
         effects
     }
@@ -168,6 +192,11 @@
         self.crashes = crashes;
     }
 
+    /// Restores the drains that a snapshot keeps apart.
+    pub(crate) fn restore_drains(&mut self, drains: Drains) {
+        self.drains = drains;
+    }
+
     fn crash_upstream(
         &mut self,
         name: UpstreamName,
@@ -243,13 +272,15 @@
         self.step_spec(step).is_some_and(|spec| spec.gang)
     }
 
-    /// Whether a start still applies: the upstream is registered with the same incarnation, the
-    /// workflow is active, its occurrence is not finished, and the task exists, waits and had only
+    /// Whether a start still applies: the upstream is registered with the same incarnation and not in a drained data
+    /// centre, the workflow is active, its occurrence is not finished, and the task exists, waits and had only
     /// lower runs.
     fn may_start(&self, start: &RunStart) -> bool {
         let StepId { job: id, occurrence, step } = &start.task.step;
         let registered = self.upstreams.get(&start.upstream);
-        if registered.is_none_or(|report| report.incarnation != start.incarnation) {
+        if registered.is_none_or(|report| report.incarnation != start.incarnation)
+            || self.is_drained(&start.upstream)
+        {
             return false;
         }
         let Some(job) = self.jobs.get(id).filter(|job| job.is_active()) else { return false };
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -3,6 +3,7 @@
 
 mod command;
 mod crash;
+mod drains;
 mod effect;
 mod ledger;
 mod occupancy;
@@ -12,6 +13,7 @@
 
 pub use command::{LostRun, RunStart, SavedProgress, WorkflowCommand};
 pub use crash::{Crashes, ExposedRun, TaskCrash, UpstreamCrash};
+pub use drains::{DRAINS_MAX, Drains};
 pub use effect::{RunRef, WorkflowEffect};
 pub use ledger::WorkflowLedger;
 pub use occupancy::{Occupancy, OpenRun};
--- a/crates/hg_link/src/lib.rs
+++ b/crates/hg_link/src/lib.rs
@@ -32,4 +32,4 @@
 pub use link::{Incoming, Link};
 pub use request::{EntryHeartbeat, Reply, Request};
 pub use view::{AnswerSource, ClusterView, JobView, RefusedView, ReplicaView, UpstreamView};
-pub use workflow::{CallerAction, CallerRequest, WorkflowReply, WorkflowRequest};
+pub use workflow::{CallerAction, CallerRequest, DrainView, WorkflowReply, WorkflowRequest};
--- a/crates/hg_link/src/workflow.rs
+++ b/crates/hg_link/src/workflow.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use hg_model::{
-    Catalog, HeartbeatReadings, Incarnation, UpstreamName, UpstreamReport, WaveNumber, WaveSpec,
-    WaveState, WorkflowSpec, WorkflowState,
+    Catalog, DataCentreName, HeartbeatReadings, Incarnation, UpstreamName, UpstreamReport,
+    WaveNumber, WaveSpec, WaveState, WorkflowSpec, WorkflowState,
 };
 use serde::{Deserialize, Serialize};
 
@@ -78,6 +78,32 @@
         /// The upstream's incarnation, if it gave one.
         incarnation: Option<Incarnation>,
     },
+    /// Drains a data centre.
+    StartDrain(DataCentreName),
+    /// Ends the drain of a data centre.
+    EndDrain(DataCentreName),
+    /// Asks for the drains in force.
+    Drains,
+    /// The heartbeat of an upstream that is cold.
+    ColdHeartbeat {
+        /// The upstream's description of itself.
+        report: UpstreamReport,
+        /// The readings that change with each heartbeat.
+        readings: HeartbeatReadings,
+        /// How much longer the upstream is cold, in milliseconds.
+        cold_left_ms: u64,
+    },
+}
+
+/// A drain in force, as shown to operators.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DrainView {
+    /// The data centre.
+    pub data_centre: DataCentreName,
+    /// How long ago the drain was started, in milliseconds.
+    pub age_ms: u64,
+    /// The number of runs that are still open there.
+    pub runs_left: u64,
 }
 
 /// The reply to a [`WorkflowRequest`].
@@ -109,16 +135,18 @@
     },
     /// The workflow's state.
     State(WorkflowState),
-    /// The workflow or wave is unknown, or no longer stored.
+    /// The workflow, wave or data centre is unknown, or no longer stored.
     Unknown,
     /// The number of workflows of the queue that have not begun.
     Waiting(u64),
     /// The state of the maintenance wave.
     Wave(WaveState),
-    /// The catalog, or one with a higher version, is in force; or the wave is stored.
+    /// The catalog, or one with a higher version, is in force; or the wave is stored; or the drain is in force, or has ended.
     Stored,
     /// The catalog in force, as the text that the operator uploaded.
     Catalog(Arc<str>),
     /// The heartbeat or the shutdown was recorded.
     Noted,
+    /// The drains in force, by data centre.
+    Drains(Vec<DrainView>),
 }
--- a/crates/hg_policy/src/workflow/capacity_map.rs
+++ b/crates/hg_policy/src/workflow/capacity_map.rs
@@ -23,6 +23,8 @@
     /// Whether it is slower than the median by `SLOWER_FACTOR`, so that gangs avoid it where
     /// possible.
     pub(crate) slower: bool,
+    /// Whether it is cold and may take one start only.
+    pub(crate) is_cold: bool,
     /// Whether only urgent work may start here.
     pub(crate) urgent_only: bool,
     /// Set while capacity is left to drain here for a gang.
@@ -75,8 +77,18 @@
             let (free, excess) = (report.capacity.minus(&used), used.minus(&report.capacity));
             let held = ResourceVector::default();
             let (slower, urgent_only, reservation) = (false, false, None);
-            let is_excluded = false;
-            Candidate { report, free, excess, held, slower, urgent_only, reservation, is_excluded }
+            let (is_cold, is_excluded) = (false, false);
+            Candidate {
+                report,
+                free,
+                excess,
+                held,
+                slower,
+                is_cold,
+                urgent_only,
+                reservation,
+                is_excluded,
+            }
         };
         let mut candidates: Vec<Candidate<'a>> =
             ledger.upstreams().values().filter(usable).map(candidate).collect();
@@ -104,6 +116,11 @@
         self.candidates.iter().filter(|candidate| !candidate.is_excluded)
     }
 
+    /// Whether any upstream that may get new work is cold.
+    pub(crate) fn has_cold(&self) -> bool {
+        self.candidates().any(|candidate| candidate.is_cold)
+    }
+
     /// The upstreams that can run a step, by rack and name.
     pub(crate) fn able(&self, pool: &PoolName, step: &StepSpec) -> Vec<Position> {
         self.able_within(0..self.candidates.len(), pool, step)
@@ -173,6 +190,7 @@
     pub(crate) fn allocate(&mut self, upstream: &UpstreamName, claim: &ResourceVector) {
         if let Some(candidate) = self.get_mut(upstream) {
             candidate.free = candidate.free.minus(claim);
+            candidate.is_excluded |= candidate.is_cold;
         }
     }
 
--- a/crates/hg_policy/src/workflow/fleet_observations.rs
+++ b/crates/hg_policy/src/workflow/fleet_observations.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use hg_model::{HostName, HostReport, Time, UpstreamName, UpstreamReport};
+use hg_model::{DataCentreName, HostName, HostReport, Time, UpstreamName, UpstreamReport};
 
 /// Observations that decisions depend on.
 #[derive(Debug, Clone, Default)]
@@ -17,6 +17,10 @@
     pub hosts: BTreeMap<HostName, HostReport>,
     /// Hosts that are about to change their pool.
     pub moving: BTreeSet<HostName>,
+    /// Drained data centres, with the time at which the bound of the drain ends.
+    pub drained: BTreeMap<DataCentreName, Time>,
+    /// Cold upstreams in data centres whose drain has ended.
+    pub cold: BTreeSet<UpstreamName>,
 }
 
 impl FleetObservations {
@@ -25,6 +29,7 @@
         let name = &upstream.name;
         let moves = upstream.host.as_ref().is_some_and(|host| self.moving.contains(host));
         !upstream.leaving
+            && !self.drained.contains_key(&upstream.data_centre)
             && !moves
             && !self.excluded.contains(name)
             && !self.leaving.contains_key(name)
--- a/crates/hg_policy/src/workflow/holds.rs
+++ b/crates/hg_policy/src/workflow/holds.rs
@@ -68,7 +68,8 @@
     ) {
         let waiting: BTreeSet<&StepId> = ready.iter().map(|step| &step.id).collect();
         self.steps.retain(|step, hold| {
-            let usable = hold.placements.values().all(|name| capacity.get(name).is_some());
+            let is_usable = |name| capacity.get(name).is_some_and(|candidate| !candidate.is_cold);
+            let usable = hold.placements.values().all(is_usable);
             now < hold.until && usable && waiting.contains(step)
         });
     }
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -13,6 +13,8 @@
 //! * `reservation` lets upstreams drain for gangs (load: small tasks that take all capacity as it
 //!   becomes free).
 //! * `preemption` finds the cheapest work to stop for an urgent step (load: a full pool).
+//! * `drain` moves work out of a data centre that operators drain (load: a data centre that has to be empty soon).
+//! * `cold_starts` limits the pace at which work returns to it (load: a data centre full of cold upstreams).
 //! * `evacuation` moves work off upstreams that are about to leave (load: a pool that is rolled).
 //! * `speed_tracker` detects upstreams that are slow or stalled (load: workers that slow down).
 //! * `crash_guard` and `isolation` decide which tasks are suspected of crashing their upstreams, where
@@ -33,7 +35,9 @@
 mod availability;
 mod bounds;
 mod capacity_map;
+mod cold_starts;
 mod crash_guard;
+mod drain;
 mod evacuation;
 mod fleet_observations;
 mod guarantee;
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -40,10 +40,14 @@
     let mut best = BTreeMap::new();
     // Single tasks are as well off on slower upstreams and leave the faster ones to gangs.
     let passes: &[bool] = if step.spec.gang { &[false, true] } else { &[true] };
-    for is_local in [true, false] {
+    // Gangs are as slow as their slowest member, and urgent tasks have no time to lose.
+    let avoids_cold = (step.spec.gang || step.is_urgent()) && capacity.has_cold();
+    let cold_passes: &[bool] = if avoids_cold { &[false, true] } else { &[true] };
+    let rounds = cold_passes.iter().flat_map(|cold| [(*cold, true), (*cold, false)]);
+    for (with_cold, is_local) in rounds {
         for with_slower in passes.iter().copied() {
             for scope in scopes.iter().filter(|scope| scope.is_local == is_local) {
-                let placed = best_fit(now, step, &scope.members, capacity, with_slower);
+                let placed = best_fit(now, step, &scope.members, capacity, with_slower, with_cold);
                 if placed.len() == step.waiting.len() {
                     return placed;
                 }
@@ -148,6 +152,9 @@
     fn place(&mut self, task: u32, slot: &mut Slot<'_, '_>) {
         let name = &slot.candidate.report.name;
         slot.available = slot.available.minus(&self.claim);
+        if slot.candidate.is_cold {
+            slot.available = ResourceVector::default();
+        }
         *self.counts.entry(name.clone()).or_insert(0) += 1;
         self.placed.insert(task, name.clone());
     }
@@ -189,12 +196,14 @@
     scope: &[Position],
     capacity: &CapacityMap<'_>,
     with_slower: bool,
+    with_cold: bool,
 ) -> BTreeMap<u32, UpstreamName> {
     let claim = step.spec.claim();
     let placed = BTreeMap::new();
     let mut fill = Fill { now, step, claim, counts: running_counts(step), placed };
     let slots = scope.iter().map(|position| capacity.at(*position));
     let slots = slots.filter(|candidate| with_slower || !candidate.slower);
+    let slots = slots.filter(|candidate| with_cold || !candidate.is_cold);
     let slots = slots.map(|candidate| Slot { candidate, available: candidate.available() });
     let slots: Vec<Slot<'_, '_>> = slots.filter(|slot| slot.can_take(&fill)).collect();
     if step.waiting.iter().any(|task| failed_at(step, *task).is_some()) {
--- a/crates/hg_policy/src/workflow/preemption.rs
+++ b/crates/hg_policy/src/workflow/preemption.rs
@@ -193,7 +193,9 @@
             let Candidate { free, excess, .. } = *candidate;
             Member { candidate, free, excess, victims, option: None }
         };
-        let members: Vec<Member<'a, 'b>> = scope.members.iter().map(member).collect();
+        // Nothing that would have to be stopped runs on a cold upstream.
+        let warm = scope.members.iter().filter(|position| !capacity.at(**position).is_cold);
+        let members: Vec<Member<'a, 'b>> = warm.map(member).collect();
         let names = members.iter().enumerate();
         let positions = names.map(|(number, m)| (&m.candidate.report.name, number)).collect();
         // Remote members cost far more than slower ones.
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -9,7 +9,9 @@
 use hg_model::{EndKind, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
 
 use super::capacity_map::CapacityMap;
+use super::cold_starts::ColdStarts;
 use super::crash_guard::CrashGuard;
+use super::drain::{DrainContext, DrainMoves};
 use super::evacuation::evacuations;
 use super::guarantee::covered_jobs;
 use super::headroom::Headroom;
@@ -47,6 +49,9 @@
     /// The upstream leaves before the run could end.
     #[display("upstream leaves")]
     Evacuated,
+    /// The data centre is drained.
+    #[display("data centre drained")]
+    Drained,
     /// The host is about to go down for upkeep.
     #[display("upkeep of its host")]
     Upkeep,
@@ -101,6 +106,8 @@
     tickets: TicketCache,
     standby: StandbyHosts,
     headroom: Headroom,
+    drain_moves: DrainMoves,
+    cold_starts: ColdStarts,
 }
 
 /// Inputs and results of one decision round.
@@ -144,6 +151,8 @@
             tickets: TicketCache::default(),
             standby: StandbyHosts::default(),
             headroom: Headroom::default(),
+            drain_moves: DrainMoves::default(),
+            cold_starts: ColdStarts::default(),
         }
     }
 
@@ -158,7 +167,10 @@
     /// upstream's health.
     pub fn record_end(&mut self, now: Time, upstream: &UpstreamName, job: &JobId, kind: EndKind) {
         match kind {
-            EndKind::Done => self.health.record_success(upstream),
+            EndKind::Done => {
+                self.health.record_success(upstream);
+                self.cold_starts.record_progress(upstream);
+            }
             EndKind::Failed => {
                 self.health.record_failure(
                     now,
@@ -188,6 +200,9 @@
         upstream: &UpstreamName,
         listing: &RunListing,
     ) -> Vec<PaceChange> {
+        if listing.running.iter().any(|listed| listed.percent > 0) {
+            self.cold_starts.record_progress(upstream);
+        }
         for listed in &listing.running {
             let step = &listed.task.step;
             let (job, spec) = (ledger.job(&step.job), ledger.step_spec(step));
@@ -235,6 +250,7 @@
         let mut capacity = CapacityMap::new(ledger, fleet);
         capacity.exclude(self.speeds.too_slow(now));
         capacity.mark_slower(self.speeds.slower(now));
+        self.cold_starts.limit(&fleet.cold, ledger, &mut capacity);
         let decisions = WorkflowDecisions::default();
         let (runs, drains) = (RunTable::new(ledger), DrainTimes::new(now, ledger));
         let guard = CrashGuard::new(now, ledger, &fleet.silent);
@@ -247,6 +263,7 @@
         self.holds.apply_to(&mut round.capacity);
         start_suspects(suspects, &mut ready, &mut round);
         self.headroom.reserve(now, &round.runs, &mut round.capacity);
+        self.drain(&mut round, fleet);
         let mut unplaced = Vec::new();
         for step in &ready {
             let all_placed = if self.holds.contains(&step.id) {
@@ -305,12 +322,25 @@
         }
         let waves = self.waves.round(now, ledger, fleet, &self.speeds, &self.stopping);
         round.capacity.exclude(waves.draining.iter());
-        for run in waves.stops {
+        // `drain` decides what leaves a drained data centre, and when.
+        for run in waves.stops.into_iter().filter(|run| !ledger.is_drained(&run.upstream)) {
             self.stop(run, StopReason::Upkeep, round);
         }
         round.decisions.upkeeps = waves.upkeeps;
     }
 
+    /// Stops runs in drained data centres.
+    fn drain(&mut self, round: &mut Round<'_>, fleet: &FleetObservations) {
+        let Round { now, ledger, runs, capacity, .. } = round;
+        let (speeds, stopping) = (&self.speeds, &self.stopping);
+        let lead_time = self.bounds.stop_lead_time();
+        let (now, ledger) = (*now, *ledger);
+        let cx = DrainContext { now, ledger, fleet, runs, speeds, stopping, lead_time };
+        for run in self.drain_moves.stops(&cx, capacity) {
+            self.stop(run, StopReason::Drained, round);
+        }
+    }
+
     fn stop(&mut self, run: RunRef, reason: StopReason, round: &mut Round<'_>) {
         self.stop_for(run, reason, None, round);
     }
--- a/crates/hg_policy/src/workflow/speed_tracker.rs
+++ b/crates/hg_policy/src/workflow/speed_tracker.rs
@@ -163,15 +163,18 @@
         open: &OpenRun,
         estimate_ms: u64,
     ) -> Duration {
-        let progress = self.runs.get(task).filter(|progress| progress.run == open.run);
-        let by_rate = progress.and_then(|progress| {
-            let left = f64::from(100 - progress.last.0.min(100));
-            Some(Duration::from_secs_f64(left / progress.rate()? / 1_000.0))
-        });
         let estimate = Duration::from_millis(estimate_ms);
+        let by_rate = self.time_left_by_rate(task, open);
         by_rate.unwrap_or_else(|| estimate.saturating_sub(now.since(open.since)))
     }
 
+    /// The remaining run time by the run's own rate; `None` if too little progress was observed.
+    pub(crate) fn time_left_by_rate(&self, task: &TaskId, open: &OpenRun) -> Option<Duration> {
+        let progress = self.runs.get(task).filter(|progress| progress.run == open.run)?;
+        let left = f64::from(100 - progress.last.0.min(100));
+        Some(Duration::from_secs_f64(left / progress.rate()? / 1_000.0))
+    }
+
     /// Runs on slow upstreams that would end sooner if they were restarted elsewhere.
     pub(crate) fn stragglers(&self, now: Time, ledger: &WorkflowLedger) -> Vec<RunRef> {
         let median_slowness = self.median_slowness(now);
--- a/crates/hg_policy/src/workflow/standby.rs
+++ b/crates/hg_policy/src/workflow/standby.rs
@@ -72,6 +72,11 @@
                 |h: &&hg_model::HostReport| h.pool == pool && h.state == HostState::Moving;
             let arriving = fleet.hosts.values().filter(is_arriving).count();
             let on_standby = fleet.hosts.values().filter(|host| {
+                let is_drained = upstream_on(ledger, fleet, &host.name)
+                    .is_some_and(|upstream| ledger.is_drained(upstream));
+                if is_drained {
+                    return false;
+                }
                 let is_standby = ledger.catalog().and_then(|c| c.pool(&host.pool));
                 is_standby.is_some_and(|pool| pool.standby) && host.state != HostState::Moving
             });
--- a/crates/hg_policy/tests/workflow/harness.rs
+++ b/crates/hg_policy/tests/workflow/harness.rs
@@ -154,6 +154,13 @@
         self.apply(command);
     }
 
+    /// Moves an upstream to another data centre.
+    pub fn set_data_centre(&mut self, number: u32, data_centre: &DataCentreName) {
+        let known = self.ledger.upstreams()[&upstream(number)].clone();
+        let data_centre = data_centre.clone();
+        self.apply(WorkflowCommand::Register(UpstreamReport { data_centre, ..known }));
+    }
+
     /// Changes the capacity that an upstream reports.
     pub fn set_capacity(&mut self, number: u32, capacity: ResourceVector) {
         let known = self.ledger.upstreams()[&upstream(number)].clone();
--- a/crates/hg_policy/tests/workflow/main.rs
+++ b/crates/hg_policy/tests/workflow/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity_changes;
 mod crashes;
+mod drain;
 mod extreme_requests;
 mod harness;
 mod starts_and_stops;
--- a/crates/hg_policy/tests/workflow/upkeep_advice_pace.rs
+++ b/crates/hg_policy/tests/workflow/upkeep_advice_pace.rs
@@ -41,7 +41,7 @@
 }
 
 /// Reports the progress of runs to the scheduler.
-fn report_progress(
+pub fn report_progress(
     harness: &mut Harness,
     runs: &[RunRef],
     percent: u32,
