--- a/crates/hg_control/src/workflow/drains.rs
+++ b/crates/hg_control/src/workflow/drains.rs
@@ -14,7 +14,6 @@
 
 use super::WorkflowReplyKind;
 use super::dispatch::ANSWER_TIMEOUT;
-use super::telemetry;
 use crate::{Core, Ticket};
 
 /// After this time no start order that was put out before is still on its way to a connection: it waits for one and for
@@ -39,8 +38,6 @@
     since: Time,
     /// Whether it was logged that nothing runs there any more.
     is_done: bool,
-    /// How many runs are open there.
-    runs_left: u64,
 }
 
 /// The leader's state about drains that is not replicated.
@@ -75,7 +72,7 @@
         let active = ledger.drains().active();
         self.drains.retain(|name, _| active.contains_key(name));
         let ends = active.iter().map(|(name, started_at)| {
-            let fresh = || ObservedDrain { since: now, is_done: false, runs_left: 0 };
+            let fresh = || ObservedDrain { since: now, is_done: false };
             let known = self.drains.entry(name.clone()).or_insert_with(fresh);
             let since = known.since.min(*started_at);
             (name.clone(), since.after(bound.unwrap_or(BOUND_DEFAULT)))
@@ -106,7 +103,7 @@
 }
 
 /// How many runs are open in each drained data centre.
-fn runs_left(ledger: &WorkflowLedger) -> BTreeMap<DataCentreName, u64> {
+pub(super) fn runs_left(ledger: &WorkflowLedger) -> BTreeMap<DataCentreName, u64> {
     let active = ledger.drains().active();
     let mut left: BTreeMap<DataCentreName, u64> =
         active.keys().map(|name| (name.clone(), 0)).collect();
@@ -124,7 +121,7 @@
 }
 
 /// The guaranteed accelerators that the upstreams outside drained data centres lack; 0 without a drain.
-fn shortage(ledger: &WorkflowLedger) -> u64 {
+pub(super) fn shortage(ledger: &WorkflowLedger) -> u64 {
     let Some(catalog) = ledger.catalog().filter(|_| !ledger.drains().active().is_empty()) else {
         return 0;
     };
@@ -259,7 +256,6 @@
                     "data_centre" => %name, "ms" => now.since(started_at).as_millis());
             }
             known.is_done = left == 0;
-            known.runs_left = left;
         }
         let missing = shortage(ledger);
         if missing > 0 && missing != leadership.drains.logged_shortage {
@@ -268,7 +264,5 @@
                 "drained" => ledger.drains().active().len());
         }
         leadership.drains.logged_shortage = missing;
-        let left = leadership.drains.drains.values().map(|drain| drain.runs_left).sum();
-        telemetry::record_drains(ledger.drains().active().len(), left, missing);
     }
 }
--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -9,8 +9,8 @@
 
 impl<D: Disk> Core<D> {
     pub(super) fn log_order_report(&self, report: &OrderReport) {
-        use OrderResult::{Fenced, NotStarted, OtherIncarnation, Unanswered, Unsent};
-        if let Fenced | Unsent(_) | NotStarted(_) | OtherIncarnation | Unanswered(_) =
+        use OrderResult::{Fenced, NotStarted, OtherIncarnation, Unanswered, Unsent, Withdrawn};
+        if let Fenced | Unsent(_) | NotStarted(_) | OtherIncarnation | Unanswered(_) | Withdrawn =
             &report.result
         {
             warn!(self.log, "workflow: order not carried out"; "event" => "order.failed",
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -6,6 +6,7 @@
 use hg_model::{EndKind, JobId, Time, WorkflowState};
 use hg_policy::{Rejection, StopReason};
 
+use super::drains::{runs_left, shortage};
 use super::{Order, OrderKind, OrderResult};
 
 pub(super) fn record_accepted(is_urgent: bool) {
@@ -97,14 +98,6 @@
     metrics::counter!("hg_workflow_upkeeps", "stage" => stage).increment(1);
 }
 
-/// Records the drains in force, the runs that are open in their data centres, and the guaranteed accelerators that the
-/// others lack.
-pub(super) fn record_drains(count: usize, runs_left: u64, shortage: u64) {
-    metrics::gauge!("heathergrade_drains").set(count as f64);
-    metrics::gauge!("heathergrade_drain_runs_left").set(runs_left as f64);
-    metrics::gauge!("heathergrade_drain_shortage_accelerators").set(shortage as f64);
-}
-
 pub(super) fn record_advice(is_given: bool) {
     let result = if is_given { "given" } else { "failed" };
     metrics::counter!("hg_workflow_advice", "result" => result).increment(1);
@@ -122,4 +115,8 @@
     metrics::gauge!("hg_workflow_accelerators").set(accelerators.sum::<f64>());
     metrics::gauge!("hg_workflow_suspects").set(ledger.crashes().tasks().len() as f64);
     metrics::gauge!("hg_workflow_shunned").set(excluded as f64);
+    let runs_left: u64 = runs_left(ledger).into_values().sum();
+    metrics::gauge!("heathergrade_drains").set(ledger.drains().active().len() as f64);
+    metrics::gauge!("heathergrade_drain_runs_left").set(runs_left as f64);
+    metrics::gauge!("heathergrade_drain_shortage_accelerators").set(shortage(ledger) as f64);
 }
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -170,10 +170,13 @@
 fn drained_data_centre_is_empty_within_the_bound() {
     for seed in 0..SEEDS {
         let mut world = World::new(seed, Faults::default());
+        // Most runs would outlast the bound.
+        world.set_run_ms(2_000..60_000);
         for number in 0..JOBS {
             world.submit(number);
         }
         world.run(1_000);
+        assert!(world.running_in_second_rack() > 0, "seed {seed}");
         world.want_drain(true);
         world.run(100);
         assert!(world.is_drain_acknowledged(), "seed {seed}: not acknowledged within 100 ms");
@@ -185,6 +188,21 @@
     }
 }
 
+/// A start that has left before the drain is committed may reach its upstream later; the operators must not be told before that
+/// nothing starts there any more.
+#[test]
+fn drain_is_acknowledged_when_no_start_is_in_flight() {
+    let mut world = World::new(1, Faults { lost_orders: 1_000, ..Faults::default() });
+    let each = ResourceVector::new(8, 2_000, 4_096);
+    world.submit_spec(0, WorkflowSpec::new("work", vec![StepSpec::new(6, each)]));
+    world.run(100);
+    world.want_drain(true);
+    world.run(200);
+    assert!(!world.is_drain_acknowledged(), "starts are in flight");
+    world.run(400);
+    assert!(world.is_drain_acknowledged(), "they have timed out");
+}
+
 #[test]
 fn workflows_end_despite_permanently_lost_upstreams() {
     run_seeds(Faults { permanent_losses: 200, ..Faults::default() });
