hg_policy: lasting speeds of hosts are estimated and decide where work goes

Cause: on a deployment with uneven hosts most late urgent jobs are late because of their host; observations of slow hosts were dropped after 8 s and used for gangs only.

Change: behind the policy host-speeds, runs are compared with their siblings, gang members and queue while they run; groups of hosts serve as prior and decide whether speeds matter in a pool. There a step goes to the slowest hosts that meet its objective, urgent work preempts on such hosts rather than start where it is certain to be late, and headroom is kept on them.

Tests of hg_policy, hg_control and hg_ledger pass.

--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 39] = [
+pub const METRICS: [Metric; 41] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -229,6 +229,20 @@
         "calls",
         "Advice requests for where a step may run.",
     ),
+    metric(
+        "heathergrade_hosts_by_speed",
+        Gauge,
+        "class: fast, normal, slow, unknown",
+        "hosts",
+        "Hosts by their lasting speed relative to the median of their pool; set by the leader while `host-speeds` is in use.",
+    ),
+    metric(
+        "heathergrade_placements_by_speed",
+        Counter,
+        "class: fast, normal, slow, unknown; urgent: true, false",
+        "runs",
+        "Decided starts by the lasting speed of the host, while `host-speeds` is in use.",
+    ),
 ];
 
 /// Describes all metrics to the recorder, with meaning and unit.
--- a/crates/hg_control/src/snapshot.rs
+++ b/crates/hg_control/src/snapshot.rs
@@ -4,12 +4,13 @@
 //! that ends early lacks the later parts, and an earlier version ignores what follows the part that it knows.
 
 use hg_ledger::Ledger;
-use hg_link::{LinkCause, decode, decode_prefix, encode};
+use hg_link::{LinkCause, decode_prefix, encode};
 
 /// Encodes a ledger.
 pub fn encode_ledger(ledger: &Ledger) -> Vec<u8> {
     let mut snapshot = encode(ledger);
     snapshot.extend(encode(ledger.workflows().crashes()));
+    snapshot.extend(encode(ledger.workflows().host_speeds()));
     snapshot
 }
 
@@ -20,8 +21,15 @@
 /// [`LinkCause`] if the snapshot is malformed or of an unknown version.
 pub fn decode_ledger(snapshot: &[u8]) -> Result<Ledger, LinkCause> {
     let (mut ledger, rest): (Ledger, _) = decode_prefix(snapshot)?;
-    if !rest.is_empty() {
-        ledger.restore_crashes(decode(rest)?);
+    if rest.is_empty() {
+        return Ok(ledger);
     }
+    let (crashes, rest) = decode_prefix(rest)?;
+    ledger.restore_crashes(crashes);
+    if rest.is_empty() {
+        return Ok(ledger);
+    }
+    let (host_speeds, _) = decode_prefix(rest)?;
+    ledger.restore_host_speeds(host_speeds);
     Ok(ledger)
 }
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -175,6 +175,7 @@
         for job in jobs {
             telemetry::record_first_start(now, ledger, job);
         }
+        let host_speeds = leadership.record_host_speeds(now, ledger, &decisions, &self.log);
         for RunStop { run, reason, preempted_for } in &decisions.stops {
             info!(self.log, "workflow: stopping run"; "event" => "run.stop", "task" => %run.task,
                 "run" => run.run.0, "upstream" => %run.upstream, "reason" => %reason,
@@ -200,7 +201,7 @@
             let command = WorkflowCommand::Start { starts: decisions.starts, at: now };
             self.propose(now, Command::Workflow(command), Purpose::WorkflowDecided);
         }
-        for command in upkeeps {
+        for command in upkeeps.into_iter().chain(host_speeds) {
             self.propose(now, Command::Workflow(command), Purpose::Kept);
         }
     }
--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -2,7 +2,7 @@
 
 use hg_ledger::WorkflowCommand;
 use hg_replica::Disk;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 
 use super::{OrderReport, OrderResult};
 use crate::Core;
@@ -85,6 +85,10 @@
             }
             // These were logged with their reasons when they were decided.
             WorkflowCommand::UpstreamCrashed { .. } | WorkflowCommand::GiveUp { .. } => {}
+            WorkflowCommand::HostSpeeds { changed, .. } => {
+                debug!(self.log, "workflow: speeds of hosts recorded"; "event" => "host.speeds",
+                    "hosts" => changed.len());
+            }
             WorkflowCommand::Forget { .. } => {}
         }
     }
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -4,7 +4,7 @@
 
 use hg_ledger::{UpkeepStage, WorkflowLedger};
 use hg_model::{EndKind, JobId, Time, WorkflowState};
-use hg_policy::{Rejection, StopReason};
+use hg_policy::{Rejection, SpeedClass, StopReason};
 
 use super::{Order, OrderKind, OrderResult};
 
@@ -42,6 +42,16 @@
     metrics::counter!("hg_workflow_stops", "reason" => reason.to_string()).increment(1);
 }
 
+pub(super) fn record_placement_by_speed(class: SpeedClass, is_urgent: bool) {
+    metrics::counter!("heathergrade_placements_by_speed", "class" => class.to_string(),
+        "urgent" => is_urgent.to_string())
+    .increment(1);
+}
+
+pub(super) fn record_hosts_by_speed(class: SpeedClass, count: usize) {
+    metrics::gauge!("heathergrade_hosts_by_speed", "class" => class.to_string()).set(count as f64);
+}
+
 pub(super) fn record_end(kind: EndKind) {
     let kind = format!("{kind:?}").to_lowercase();
     metrics::counter!("hg_workflow_run_ends", "kind" => kind).increment(1);
--- a/crates/hg_control/tests/snapshot.rs
+++ b/crates/hg_control/tests/snapshot.rs
@@ -1,11 +1,12 @@
 //! Snapshots and log entries of earlier versions are still read, and earlier versions read those of this one.
 
 use hg_control::{decode_ledger, encode_ledger};
-use hg_ledger::{Command, ExposedRun, Ledger, WorkflowCommand};
+use hg_ledger::{Command, ExposedRun, HostSpeed, Ledger, WorkflowCommand};
 use hg_link::{VERSION, decode, encode};
 use hg_model::{
-    DataCentreName, Incarnation, JobId, PoolName, QueueName, QueueSpec, RackName, ResourceVector,
-    RunNumber, StepId, StepSpec, TaskId, Time, UpstreamName, UpstreamReport, WorkflowSpec,
+    DataCentreName, HostName, Incarnation, JobId, PoolName, QueueName, QueueSpec, RackName,
+    ResourceVector, RunNumber, StepId, StepSpec, TaskId, Time, UpstreamName, UpstreamReport,
+    WorkflowSpec,
 };
 
 fn name() -> UpstreamName {
@@ -83,6 +84,29 @@
     assert_eq!(decode_ledger(&encode(&ledger)).expect("readable"), ledger);
 }
 
+fn with_host_speeds(mut ledger: Ledger) -> Ledger {
+    let host = HostName::new("m0").expect("a good name");
+    let speed = HostSpeed { log_centi: -51, deviation_centi: 12, at: Time(2_000) };
+    let (changed, at) = (vec![(host, speed)], Time(2_000));
+    ledger.apply(Command::Workflow(WorkflowCommand::HostSpeeds { changed, at }));
+    ledger
+}
+
+#[test]
+fn decode_ledger_keeps_host_speeds() {
+    let ledger = with_host_speeds(ledger(true));
+    assert_eq!(ledger.workflows().host_speeds().hosts().len(), 1);
+    assert_eq!(decode_ledger(&encode_ledger(&ledger)).expect("readable"), ledger);
+}
+
+#[test]
+fn decode_ledger_reads_a_snapshot_without_host_speeds() {
+    let ledger = ledger(true);
+    let mut earlier = encode(&ledger);
+    earlier.extend(encode(ledger.workflows().crashes()));
+    assert_eq!(decode_ledger(&earlier).expect("readable"), ledger);
+}
+
 #[test]
 fn earlier_version_reads_a_snapshot_with_crashes() {
     let read: Ledger = decode(&encode_ledger(&ledger(true))).expect("readable");
--- a/crates/hg_ledger/src/ledger.rs
+++ b/crates/hg_ledger/src/ledger.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Command, Crashes, ENDED_MAX, ENDED_WITH_NOTES_MAX, Effect, EndedJob, FAILURES_MAX, Job,
-    JobEvent, ListConflict, OPERATIONS_MAX, Outcome, REFUSALS_MAX, WorkflowLedger,
+    Command, Crashes, ENDED_MAX, ENDED_WITH_NOTES_MAX, Effect, EndedJob, FAILURES_MAX, HostSpeeds,
+    Job, JobEvent, ListConflict, OPERATIONS_MAX, Outcome, REFUSALS_MAX, WorkflowLedger,
 };
 
 /// The result of applying one command of the log.
@@ -119,6 +119,11 @@
         self.workflows.restore_crashes(crashes);
     }
 
+    /// Restores the speeds of hosts, which a snapshot keeps apart.
+    pub fn restore_host_speeds(&mut self, host_speeds: HostSpeeds) {
+        self.workflows.restore_host_speeds(host_speeds);
+    }
+
     /// Applies one command of the log. A command that no longer applies changes nothing.
     pub fn apply(&mut self, command: Command) -> Applied {
         match command {
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -6,7 +6,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{ExposedRun, QueueTerms, UpkeepStage};
+use super::{ExposedRun, HostSpeed, QueueTerms, UpkeepStage};
 
 /// A decided start of a run. It is committed to the log before it is ordered at any upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -177,4 +177,11 @@
         /// When it was decided.
         at: Time,
     },
+    /// Records changed estimates of the lasting relative run times of hosts.
+    HostSpeeds {
+        /// The hosts with their new estimates.
+        changed: Vec<(HostName, HostSpeed)>,
+        /// When they were estimated.
+        at: Time,
+    },
 }
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -9,9 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Crashes, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun, QueueTerms,
-    RunRef, RunStart, SavedProgress, StepRecord, TaskState, Waves, Workflow, WorkflowCommand,
-    WorkflowEffect, WorkflowPhase,
+    Crashes, EndedWorkflow, ExposedRun, HostSpeeds, LostRun, Occupancy, Occurrence, OpenRun,
+    QueueTerms, RunRef, RunStart, SavedProgress, StepRecord, TaskState, Waves, Workflow,
+    WorkflowCommand, WorkflowEffect, WorkflowPhase,
 };
 
 /// Catalog, registered upstreams, workflows, open runs and maintenance waves.
@@ -27,6 +27,9 @@
     /// Kept apart in snapshots, so that those of versions without it can still be read.
     #[serde(skip)]
     pub(super) crashes: Crashes,
+    /// Kept apart in snapshots for the same reason.
+    #[serde(skip)]
+    host_speeds: HostSpeeds,
 }
 
 /// Fewer crashes of upstreams under a task never fail its workflow.
@@ -93,6 +96,11 @@
         &self.crashes
     }
 
+    /// The lasting relative run times of hosts.
+    pub const fn host_speeds(&self) -> &HostSpeeds {
+        &self.host_speeds
+    }
+
     /// When the oldest retained workflow in its final state ended; `None` if none is retained.
     pub fn oldest_end_time(&self) -> Option<Time> {
         self.ended.get(self.ended_order.front()?).map(|ended| ended.at)
@@ -159,10 +167,18 @@
                     self.end_early(&task.step.job, WorkflowState::Failed, at, &mut effects);
                 }
             }
+            WorkflowCommand::HostSpeeds { changed, at } => {
+                self.host_speeds.record(changed, at, &self.upstreams);
+            }
         }
         effects
     }
 
+    /// Restores the speeds of hosts that a snapshot keeps apart.
+    pub(crate) fn restore_host_speeds(&mut self, host_speeds: HostSpeeds) {
+        self.host_speeds = host_speeds;
+    }
+
     /// Restores the crashes that a snapshot keeps apart.
     pub(crate) fn restore_crashes(&mut self, crashes: Crashes) {
         self.crashes = crashes;
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod crash;
 mod effect;
+mod host_speeds;
 mod ledger;
 mod occupancy;
 mod record;
@@ -13,6 +14,7 @@
 pub use command::{LostRun, RunStart, SavedProgress, WorkflowCommand};
 pub use crash::{Crashes, ExposedRun, TaskCrash, UpstreamCrash};
 pub use effect::{RunRef, WorkflowEffect};
+pub use host_speeds::{HostSpeed, HostSpeeds};
 pub use ledger::WorkflowLedger;
 pub use occupancy::{Occupancy, OpenRun};
 pub use record::{
--- a/crates/hg_policy/src/workflow/capacity_map.rs
+++ b/crates/hg_policy/src/workflow/capacity_map.rs
@@ -7,6 +7,7 @@
 use hg_model::{PoolName, RackName, ResourceVector, StepSpec, UpstreamName, UpstreamReport};
 
 use super::FleetObservations;
+use super::pool_speeds::PoolSpeeds;
 use super::reservation::Reservation;
 
 /// An upstream that may get new work in a round.
@@ -23,6 +24,8 @@
     /// Whether it is slower than the median by `SLOWER_FACTOR`, so that gangs avoid it where
     /// possible.
     pub(crate) slower: bool,
+    /// The tier of its host's lasting speed, where speeds are in effect; otherwise 0.
+    pub(crate) tier: usize,
     /// Whether only urgent work may start here.
     pub(crate) urgent_only: bool,
     /// Set while capacity is left to drain here for a gang.
@@ -75,8 +78,18 @@
             let (free, excess) = (report.capacity.minus(&used), used.minus(&report.capacity));
             let held = ResourceVector::default();
             let (slower, urgent_only, reservation) = (false, false, None);
-            let is_excluded = false;
-            Candidate { report, free, excess, held, slower, urgent_only, reservation, is_excluded }
+            let (tier, is_excluded) = (0, false);
+            Candidate {
+                report,
+                free,
+                excess,
+                held,
+                slower,
+                tier,
+                urgent_only,
+                reservation,
+                is_excluded,
+            }
         };
         let mut candidates: Vec<Candidate<'a>> =
             ledger.upstreams().values().filter(usable).map(candidate).collect();
@@ -170,6 +183,18 @@
         }
     }
 
+    /// Records the tiers of the hosts of the pools in which their speeds are in effect.
+    pub(crate) fn mark_speeds(&mut self, in_effect: &BTreeMap<PoolName, PoolSpeeds>) {
+        if in_effect.is_empty() {
+            return;
+        }
+        for candidate in &mut self.candidates {
+            if let Some(speeds) = in_effect.get(&candidate.report.pool) {
+                candidate.tier = speeds.tier_of(&candidate.report.name);
+            }
+        }
+    }
+
     pub(crate) fn allocate(&mut self, upstream: &UpstreamName, claim: &ResourceVector) {
         if let Some(candidate) = self.get_mut(upstream) {
             candidate.free = candidate.free.minus(claim);
--- a/crates/hg_policy/src/workflow/headroom.rs
+++ b/crates/hg_policy/src/workflow/headroom.rs
@@ -12,6 +12,7 @@
 use hg_model::{PoolName, Time, UpstreamName};
 
 use super::capacity_map::CapacityMap;
+use super::pool_speeds::PoolSpeeds;
 use super::run_table::RunTable;
 
 /// Older peaks do not count: waves of callers follow within seconds of each other.
@@ -35,12 +36,13 @@
         now: Time,
         runs: &RunTable<'_>,
         capacity: &mut CapacityMap<'_>,
+        in_effect: &BTreeMap<PoolName, PoolSpeeds>,
     ) {
         let used = urgent_usage(runs);
         self.record_usage(now, &used);
         for (pool, peak) in self.peaks() {
             let wanted = peak.saturating_sub(used.get(&pool).copied().unwrap_or(0));
-            mark_urgent_only(&pool, wanted, capacity);
+            mark_urgent_only(&pool, wanted, capacity, in_effect.get(&pool));
         }
     }
 
@@ -78,19 +80,27 @@
 }
 
 /// Marks the upstreams of a pool with the most available capacity until `wanted` is reached or the
-/// next one would exceed `SHARE_MAX_PERCENT` of the pool.
-fn mark_urgent_only(pool: &PoolName, wanted: u64, capacity: &mut CapacityMap<'_>) {
+/// next one would exceed `SHARE_MAX_PERCENT` of the pool. Where the speeds of hosts are in effect, hosts
+/// on which urgent work would be late are left out, and the fastest of equal ones come first.
+fn mark_urgent_only(
+    pool: &PoolName,
+    wanted: u64,
+    capacity: &mut CapacityMap<'_>,
+    speeds: Option<&PoolSpeeds>,
+) {
     let mut total = 0;
-    let mut candidates: Vec<(Reverse<u64>, UpstreamName)> = Vec::new();
+    let mut candidates: Vec<(Reverse<u64>, usize, UpstreamName)> = Vec::new();
     for candidate in capacity.candidates().filter(|candidate| candidate.report.pool == *pool) {
         total += candidate.report.capacity.weight();
         let name = candidate.report.name.clone();
-        candidates.push((Reverse(candidate.available().weight()), name));
+        if speeds.is_none_or(|speeds| !speeds.is_too_slow(candidate.tier)) {
+            candidates.push((Reverse(candidate.available().weight()), candidate.tier, name));
+        }
     }
     candidates.sort();
     let limit = total * SHARE_MAX_PERCENT / 100;
     let mut kept = 0;
-    for (Reverse(available), name) in candidates {
+    for (Reverse(available), _, name) in candidates {
         if kept >= wanted || kept + available > limit {
             return;
         }
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -15,6 +15,8 @@
 //! * `preemption` finds the cheapest work to stop for an urgent step (load: a full pool).
 //! * `evacuation` moves work off upstreams that are about to leave (load: a pool that is rolled).
 //! * `speed_tracker` detects upstreams that are slow or stalled (load: workers that slow down).
+//! * `host_speeds`, `speed_groups`, `pool_speeds`, `speed_placement` and `speed_policy` estimate how
+//!   fast hosts are for good, and place work by that (load: hosts of several generations).
 //! * `crash_guard` and `isolation` decide which tasks are suspected of crashing their upstreams, where
 //!   they start and which are given up (load: a task that crashes each upstream that starts it).
 //! * `pace_controller` slows best-effort work (load: best-effort work that disturbs tasks that
@@ -39,15 +41,20 @@
 mod guarantee;
 mod headroom;
 mod holds;
+mod host_speeds;
 mod isolation;
 mod pace_controller;
 mod placement;
 mod policies;
+mod pool_speeds;
 mod preemption;
 mod ready_steps;
 mod reservation;
 mod run_table;
 mod scheduler;
+mod speed_groups;
+mod speed_placement;
+mod speed_policy;
 mod speed_tracker;
 mod standby;
 mod ticket_cache;
@@ -58,7 +65,9 @@
 pub use fleet_observations::FleetObservations;
 pub use pace_controller::PaceChange;
 pub use policies::{UnknownPolicy, WorkflowPolicies, WorkflowPolicy};
+pub use pool_speeds::SpeedClass;
 pub use scheduler::{RunStop, StopReason, WorkflowDecisions, WorkflowScheduler};
+pub use speed_policy::SpeedChange;
 pub use standby::HostMove;
 pub use ticket_cache::{AdviceRequest, TicketCache};
 pub use wave_scheduler::UpkeepOrder;
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -12,6 +12,7 @@
 use super::capacity_map::{Candidate, CapacityMap, Position};
 use super::ready_steps::ReadyStep;
 use super::reservation::Reservation;
+use super::speed_placement::TierRanks;
 
 /// How long a step waits for its preferred rack before it accepts a slower placement, in percent of
 /// the task's estimated run time. A slower placement costs two more run times.
@@ -30,20 +31,25 @@
 ///
 /// The result names an upstream for each task that can start; for a gang it names all of them or
 /// none. A gang is as slow as its slowest member, so slower upstreams are avoided where possible,
-/// but a slower upstream is preferred to a remote rack.
+/// but a slower upstream is preferred to a remote rack. `tiers` holds the passes over hosts of
+/// different lasting speeds, a single one over all hosts where speeds are not in effect.
 pub(crate) fn place(
     now: Time,
     step: &ReadyStep<'_>,
     capacity: &CapacityMap<'_>,
+    tiers: &[TierRanks],
 ) -> BTreeMap<u32, UpstreamName> {
     let scopes = scopes(now, step, capacity);
     let mut best = BTreeMap::new();
     // Single tasks are as well off on slower upstreams and leave the faster ones to gangs.
-    let passes: &[bool] = if step.spec.gang { &[false, true] } else { &[true] };
+    let slower: &[bool] = if step.spec.gang { &[false, true] } else { &[true] };
+    let passes = tiers.iter().flat_map(|tiers| {
+        slower.iter().map(move |with_slower| Pass { with_slower: *with_slower, tiers })
+    });
     for is_local in [true, false] {
-        for with_slower in passes.iter().copied() {
+        for pass in passes.clone() {
             for scope in scopes.iter().filter(|scope| scope.is_local == is_local) {
-                let placed = best_fit(now, step, &scope.members, capacity, with_slower);
+                let placed = best_fit(now, step, &scope.members, capacity, pass);
                 if placed.len() == step.waiting.len() {
                     return placed;
                 }
@@ -114,9 +120,20 @@
     counts.sum::<u64>() >= u64::from(step.spec.tasks)
 }
 
+/// Which upstreams of a scope are tried.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pass<'a> {
+    /// Whether upstreams that are slower than others at present are used.
+    with_slower: bool,
+    /// The tiers of lasting speed that are used, and their order.
+    tiers: &'a TierRanks,
+}
+
 /// An upstream while tasks of a step are assigned to it.
 struct Slot<'a, 'b> {
     candidate: &'b Candidate<'a>,
+    /// The rank of its tier of lasting speed.
+    rank: usize,
     available: ResourceVector,
 }
 
@@ -128,9 +145,10 @@
             && is_below_upstream_limit(fill.step, &fill.counts, &self.candidate.report.name)
     }
 
-    /// Orders upstreams by what is left there; the fullest comes first.
-    const fn fill_order(&self) -> (u32, u32) {
-        (self.available.accelerators, self.available.millicores)
+    /// Orders upstreams by the rank of their tier and then by what is left there; the fullest comes
+    /// first.
+    const fn fill_order(&self) -> (usize, u32, u32) {
+        (self.rank, self.available.accelerators, self.available.millicores)
     }
 }
 
@@ -183,19 +201,22 @@
 
 /// Places as many waiting tasks as possible within a scope, each on the upstream where it leaves
 /// the least capacity free. An upstream on which the task failed before is the last choice.
-pub(crate) fn best_fit(
+fn best_fit(
     now: Time,
     step: &ReadyStep<'_>,
     scope: &[Position],
     capacity: &CapacityMap<'_>,
-    with_slower: bool,
+    pass: Pass<'_>,
 ) -> BTreeMap<u32, UpstreamName> {
     let claim = step.spec.claim();
     let placed = BTreeMap::new();
     let mut fill = Fill { now, step, claim, counts: running_counts(step), placed };
     let slots = scope.iter().map(|position| capacity.at(*position));
-    let slots = slots.filter(|candidate| with_slower || !candidate.slower);
-    let slots = slots.map(|candidate| Slot { candidate, available: candidate.available() });
+    let slots = slots.filter(|candidate| pass.with_slower || !candidate.slower);
+    let slots = slots.filter_map(|candidate| {
+        let rank = pass.tiers.rank(candidate.tier)?;
+        Some(Slot { candidate, rank, available: candidate.available() })
+    });
     let slots: Vec<Slot<'_, '_>> = slots.filter(|slot| slot.can_take(&fill)).collect();
     if step.waiting.iter().any(|task| failed_at(step, *task).is_some()) {
         fill.fill_each(slots);
--- a/crates/hg_policy/src/workflow/preemption.rs
+++ b/crates/hg_policy/src/workflow/preemption.rs
@@ -17,6 +17,7 @@
 use super::placement::{Scope, is_below_upstream_limit, running_counts, scopes};
 use super::ready_steps::ReadyStep;
 use super::run_table::{RunRow, RunTable};
+use super::speed_placement::TierOrder;
 
 /// The cost of running outside the best rack, in run times of the step.
 const REMOTE_COST: u64 = 2;
@@ -46,6 +47,11 @@
     /// The urgent workflows that a guarantee covers.
     pub(crate) covered: &'b BTreeSet<JobId>,
     pub(crate) bounds: &'b WorkflowBounds,
+    /// The order of the tiers of lasting speed for the step, where speeds are in effect.
+    pub(crate) tiers: Option<&'b TierOrder>,
+    /// The most that the plan may cost on upstreams on which the step need not be late; `None` if
+    /// all upstreams are considered, at any cost.
+    pub(crate) timely_within: Option<u64>,
 }
 
 /// Finds the cheapest set of runs to stop so that all waiting tasks of an urgent step fit.
@@ -57,12 +63,25 @@
     let victims = Victims::new(cx, step);
     let plans = scopes(cx.now, step, capacity)
         .into_iter()
-        .filter_map(|scope| ScopePlan::new(step, &scope, capacity, cx.runs, &victims).complete());
-    let (_, plan) = plans.min_by_key(|(cost, _)| *cost)?;
-    Some(plan)
+        .map(|mut scope| {
+            scope.members.retain(|position| cx.may_use(capacity.at(*position)));
+            scope
+        })
+        .filter_map(|scope| ScopePlan::new(cx, step, &scope, capacity, &victims).complete());
+    let (cost, plan) = plans.min_by_key(|(cost, _)| *cost)?;
+    cx.timely_within.is_none_or(|most| cost <= most).then_some(plan)
 }
 
 impl PreemptionContext<'_, '_> {
+    /// Whether the step is certain to be late on an upstream because of its host's lasting speed.
+    fn is_late_on(&self, candidate: &Candidate<'_>) -> bool {
+        self.tiers.is_some_and(|tiers| tiers.is_late_on(candidate.tier))
+    }
+
+    fn may_use(&self, candidate: &Candidate<'_>) -> bool {
+        self.timely_within.is_none() || !self.is_late_on(candidate)
+    }
+
     /// Whether a step may preempt a run: the run's job is active, and either has a lower priority, or
     /// is urgent but not covered while the step is covered by a guarantee and has waited for so long
     /// that it would otherwise start too late.
@@ -152,6 +171,8 @@
 /// An upstream of a scope while a plan is made.
 struct Member<'a, 'b> {
     candidate: &'b Candidate<'a>,
+    /// What running here costs because the host is slow, for the present or for good.
+    slower_cost: u64,
     /// What is free, given the tasks placed and the victims chosen so far.
     free: ResourceVector,
     /// What the remaining runs use beyond the capacity.
@@ -175,29 +196,31 @@
     chosen: BTreeSet<usize>,
     /// The cost that does not depend on the choice of upstreams.
     base_cost: u64,
-    /// The cost of a member of a gang on a slower upstream: all other members wait for it.
-    slower_cost: u64,
 }
 
 impl<'a, 'b> ScopePlan<'a, 'b> {
     fn new(
+        cx: &PreemptionContext<'a, 'b>,
         step: &'b ReadyStep<'b>,
         scope: &Scope,
         capacity: &'b CapacityMap<'a>,
-        runs: &'b RunTable<'a>,
         victims: &'b Victims,
     ) -> Self {
+        let runs = cx.runs;
+        let work = step.spec.estimate_ms.saturating_mul(step.spec.per_task.weight());
         let member = |position: &Position| {
             let candidate = capacity.at(*position);
             let victims = victims.on(&candidate.report.name, runs);
             let Candidate { free, excess, .. } = *candidate;
-            Member { candidate, free, excess, victims, option: None }
+            // The other members of a gang wait for one on a slower upstream.
+            let is_slower = (step.spec.gang && candidate.slower) || cx.is_late_on(candidate);
+            let slower_cost = if is_slower { work } else { 0 };
+            Member { candidate, slower_cost, free, excess, victims, option: None }
         };
         let members: Vec<Member<'a, 'b>> = scope.members.iter().map(member).collect();
         let names = members.iter().enumerate();
         let positions = names.map(|(number, m)| (&m.candidate.report.name, number)).collect();
         // Remote members cost far more than slower ones.
-        let work = step.spec.estimate_ms.saturating_mul(step.spec.per_task.weight());
         let remote_cost = work.saturating_mul(u64::from(step.spec.tasks) * REMOTE_COST);
         Self {
             step,
@@ -208,7 +231,6 @@
             claim: step.spec.claim(),
             chosen: BTreeSet::new(),
             base_cost: if scope.is_local { 0 } else { remote_cost },
-            slower_cost: if step.spec.gang { work } else { 0 },
         }
     }
 
@@ -274,7 +296,7 @@
     fn cheapest_eviction(&self, member: &Member<'_, '_>) -> Option<Eviction> {
         let held = &member.candidate.held;
         let available = member.free.minus(held).accelerators;
-        let mut cost = if member.candidate.slower { self.slower_cost } else { 0 };
+        let mut cost = member.slower_cost;
         let (mut free, mut excess) = (member.free, member.excess);
         let mut victims = Vec::new();
         if self.claim.fits(&free.minus(held)) {
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use hg_ledger::{RunRef, RunStart, WorkflowLedger};
-use hg_model::{EndKind, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
+use hg_ledger::{HostSpeed, RunRef, RunStart, WorkflowLedger};
+use hg_model::{EndKind, HostName, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
 
 use super::capacity_map::CapacityMap;
 use super::crash_guard::CrashGuard;
@@ -21,12 +21,14 @@
 use super::ready_steps::{ReadyStep, ready_steps};
 use super::reservation::{DrainTimes, reserve};
 use super::run_table::RunTable;
+use super::speed_placement::{TierOrder, TierRanks, preemption_gain};
+use super::speed_policy::{SpeedChange, SpeedPolicy};
 use super::speed_tracker::{ExpectedRun, SpeedTracker};
 use super::standby::StandbyHosts;
 use super::wave_scheduler::WaveScheduler;
 use super::{
-    AdviceRequest, FleetObservations, HostMove, PaceChange, TicketCache, UpkeepOrder,
-    WorkflowBounds, WorkflowPolicies,
+    AdviceRequest, FleetObservations, HostMove, PaceChange, SpeedClass, TicketCache, UpkeepOrder,
+    WorkflowBounds, WorkflowPolicies, WorkflowPolicy,
 };
 use crate::{HealthState, UpstreamHealth};
 
@@ -89,13 +91,13 @@
 #[derive(Debug)]
 pub struct WorkflowScheduler {
     bounds: WorkflowBounds,
-    #[allow(dead_code, reason = "each policy reads it as it is wired")]
     policies: WorkflowPolicies,
     holds: Holds,
     /// Runs for which a stop was decided, with the time of that decision.
     stopping: BTreeMap<RunRef, Time>,
     health: UpstreamHealth,
     speeds: SpeedTracker,
+    host_speeds: SpeedPolicy,
     waves: WaveScheduler,
     paces: PaceController,
     tickets: TicketCache,
@@ -126,6 +128,31 @@
     pub const fn tickets(&self) -> &TicketCache {
         &self.tickets
     }
+
+    fn uses_host_speeds(&self) -> bool {
+        self.policies.uses(WorkflowPolicy::HostSpeeds)
+    }
+
+    /// The class of an upstream's host by its lasting speed; `None` unless host speeds are in use.
+    pub fn speed_class(
+        &self,
+        ledger: &WorkflowLedger,
+        upstream: &UpstreamName,
+    ) -> Option<SpeedClass> {
+        let report = ledger.upstreams().get(upstream).filter(|_| self.uses_host_speeds())?;
+        Some(self.host_speeds.class_of(report))
+    }
+
+    /// The number of hosts of each class of lasting speed; empty unless host speeds are in use.
+    pub fn hosts_by_speed(&self) -> BTreeMap<SpeedClass, usize> {
+        if self.uses_host_speeds() { self.host_speeds.class_counts() } else { BTreeMap::new() }
+    }
+
+    /// The order of the tiers of lasting speed for a step; `None` where speeds are not in effect.
+    fn tier_order(&self, now: Time, step: &ReadyStep<'_>) -> Option<TierOrder> {
+        let speeds = self.host_speeds.in_effect().get(&step.job.terms.pool)?;
+        Some(TierOrder::new(now, step, speeds, self.host_speeds.estimates()))
+    }
 }
 
 /// Commands.
@@ -139,6 +166,7 @@
             stopping: BTreeMap::new(),
             health: UpstreamHealth::default(),
             speeds: SpeedTracker::new(bounds.restore),
+            host_speeds: SpeedPolicy::default(),
             waves: WaveScheduler::new(bounds.upkeep_reserve()),
             paces: PaceController::new(bounds.pace_settled()),
             tickets: TicketCache::default(),
@@ -176,6 +204,7 @@
     pub fn record_run_closed(&mut self, run: &RunRef) {
         self.stopping.remove(run);
         self.speeds.record_run_closed(run);
+        self.host_speeds.record_run_closed(run);
         self.paces.forget(&run.task);
     }
 
@@ -188,6 +217,11 @@
         upstream: &UpstreamName,
         listing: &RunListing,
     ) -> Vec<PaceChange> {
+        if self.uses_host_speeds() {
+            self.host_speeds.record_listing(now, ledger, upstream, listing);
+        }
+        let report = ledger.upstreams().get(upstream);
+        let host_factor = report.map_or(1.0, |report| self.host_speeds.factor_of(report));
         for listed in &listing.running {
             let step = &listed.task.step;
             let (job, spec) = (ledger.job(&step.job), ledger.step_spec(step));
@@ -195,12 +229,30 @@
                 queue: job.map(|job| &job.terms.queue),
                 estimate_ms: spec.map_or(0, |spec| spec.estimate_ms),
                 is_gang: spec.is_some_and(|spec| spec.gang),
+                host_factor,
             };
             self.speeds.record_listed(now, upstream, listing.clock, listed, expected);
         }
         self.paces.record_listing(now, ledger, upstream, listing)
     }
 
+    /// The hosts whose class of lasting speed has changed since the last call.
+    pub fn take_speed_changes(&mut self) -> Vec<SpeedChange> {
+        self.host_speeds.take_class_changes()
+    }
+
+    /// The changed estimates of the lasting speeds of hosts that are to be written to the log.
+    pub fn take_host_speeds(
+        &mut self,
+        now: Time,
+        ledger: &WorkflowLedger,
+    ) -> Vec<(HostName, HostSpeed)> {
+        if !self.uses_host_speeds() {
+            return Vec::new();
+        }
+        self.host_speeds.take_changes(now, ledger)
+    }
+
     /// Records that the outcome of a change of pace is unknown, so that the pace is decided again.
     pub fn record_pace_unknown(&mut self, task: &TaskId) {
         self.paces.forget(task);
@@ -235,6 +287,10 @@
         let mut capacity = CapacityMap::new(ledger, fleet);
         capacity.exclude(self.speeds.too_slow(now));
         capacity.mark_slower(self.speeds.slower(now));
+        if self.uses_host_speeds() {
+            self.host_speeds.refresh(now, ledger);
+            capacity.mark_speeds(self.host_speeds.in_effect());
+        }
         let decisions = WorkflowDecisions::default();
         let (runs, drains) = (RunTable::new(ledger), DrainTimes::new(now, ledger));
         let guard = CrashGuard::new(now, ledger, &fleet.silent);
@@ -246,7 +302,8 @@
         self.holds.drop_expired(now, &ready, &round.capacity);
         self.holds.apply_to(&mut round.capacity);
         start_suspects(suspects, &mut ready, &mut round);
-        self.headroom.reserve(now, &round.runs, &mut round.capacity);
+        let in_effect = self.host_speeds.in_effect();
+        self.headroom.reserve(now, &round.runs, &mut round.capacity, in_effect);
         let mut unplaced = Vec::new();
         for step in &ready {
             let all_placed = if self.holds.contains(&step.id) {
@@ -340,23 +397,51 @@
     /// Starts the tasks that fit. If an urgent step does not fit as a whole, lower-ranked work is
     /// preempted for it instead. Returns whether all tasks were placed.
     fn place_or_preempt(&mut self, step: &ReadyStep<'_>, round: &mut Round<'_>) -> bool {
-        let placed = place(round.now, step, &round.capacity);
+        let tiers = self.tier_order(round.now, step);
+        let passes = |timely_only| match &tiers {
+            Some(tiers) => tiers.passes(step.spec.gang, timely_only),
+            None => vec![TierRanks::default()],
+        };
+        if let Some(tiers) = tiers.as_ref().filter(|tiers| tiers.divides(step)) {
+            let placed = place(round.now, step, &round.capacity, &passes(true));
+            if placed.len() == step.waiting.len() {
+                start(step, &placed, round);
+                return true;
+            }
+            let anywhere = place(round.now, step, &round.capacity, &passes(false));
+            if anywhere.len() == step.waiting.len() {
+                let within = Some(preemption_gain(step));
+                let Some(plan) = self.plan_preemption(step, round, Some(tiers), within) else {
+                    start(step, &anywhere, round);
+                    return true;
+                };
+                self.preempt(step, plan, round);
+                return false;
+            }
+        }
+        let placed = place(round.now, step, &round.capacity, &passes(false));
         let all_placed = placed.len() == step.waiting.len();
         if all_placed || !step.is_urgent() {
             start(step, &placed, round);
             return all_placed;
         }
-        let mut plan = self.plan_preemption(step, round);
+        let mut plan = self.plan_preemption(step, round, tiers.as_ref(), None);
         if plan.is_none() && step.is_covered() {
             let Round { covered, capacity, .. } = round;
             if self.holds.release_where(|step| !covered.contains(&step.job), capacity) {
-                plan = self.plan_preemption(step, round);
+                plan = self.plan_preemption(step, round, tiers.as_ref(), None);
             }
         }
         let Some(plan) = plan else {
             start(step, &placed, round);
             return false;
         };
+        self.preempt(step, plan, round);
+        false
+    }
+
+    /// Stops the victims of a plan and holds their resources for the step.
+    fn preempt(&mut self, step: &ReadyStep<'_>, plan: PreemptionPlan, round: &mut Round<'_>) {
         for row in plan.stops {
             let run = round.runs.rows()[row].run_ref();
             self.stop_for(run, StopReason::Preempted, Some(step.id.clone()), round);
@@ -364,7 +449,6 @@
         }
         let until = round.now.after(self.bounds.hold_timeout());
         self.holds.add(until, step, plan.placements, &mut round.capacity);
-        false
     }
 
     /// Reserves draining upstreams for a gang that could not be placed.
@@ -374,9 +458,16 @@
         }
     }
 
-    fn plan_preemption(&self, step: &ReadyStep<'_>, round: &Round<'_>) -> Option<PreemptionPlan> {
+    fn plan_preemption(
+        &self,
+        step: &ReadyStep<'_>,
+        round: &Round<'_>,
+        tiers: Option<&TierOrder>,
+        timely_within: Option<u64>,
+    ) -> Option<PreemptionPlan> {
         let Round { now, runs, covered, capacity, .. } = round;
-        let cx = PreemptionContext { now: *now, runs, covered, bounds: &self.bounds };
+        let (now, bounds) = (*now, &self.bounds);
+        let cx = PreemptionContext { now, runs, covered, bounds, tiers, timely_within };
         plan_preemption(&cx, step, capacity)
     }
 }
--- a/crates/hg_policy/src/workflow/speed_tracker.rs
+++ b/crates/hg_policy/src/workflow/speed_tracker.rs
@@ -63,6 +63,9 @@
     pub(crate) estimate_ms: u64,
     /// Whether it is a member of a gang, all of which have equal work.
     pub(crate) is_gang: bool,
+    /// The lasting relative run time of its host, 1 where it does not count: only what a host is
+    /// slower than that is a disturbance.
+    pub(crate) host_factor: f64,
 }
 
 #[derive(Debug, Clone)]
@@ -71,6 +74,8 @@
     queue: Option<QueueName>,
     estimate_ms: u64,
     is_gang: bool,
+    /// The lasting relative run time of its host.
+    host_factor: f64,
     /// Percent done, and the upstream's clock at that time: the local time would include how long
     /// the listing waited before it was processed.
     first: (u32, ClockReading),
@@ -87,9 +92,14 @@
         (progress >= PROGRESS_MIN_PERCENT && span > 0).then(|| f64::from(progress) / span as f64)
     }
 
-    /// Total run time at the present rate, as a multiple of the estimate.
+    /// The rate that it would have on a host of normal speed.
+    fn normal_rate(&self) -> Option<f64> {
+        Some(self.rate()? * self.host_factor)
+    }
+
+    /// Total run time at the present rate, on a host of normal speed, as a multiple of the estimate.
     fn estimate_ratio(&self) -> Option<f64> {
-        let total_ms = 100.0 / self.rate()?;
+        let total_ms = 100.0 / self.normal_rate()?;
         (self.estimate_ms > 0).then(|| total_ms / self.estimate_ms as f64)
     }
 
@@ -217,6 +227,7 @@
             queue: expected.queue.cloned(),
             estimate_ms: expected.estimate_ms,
             is_gang: expected.is_gang,
+            host_factor: expected.host_factor,
             first: observed,
             last: observed,
         };
@@ -289,7 +300,7 @@
     /// slowness of its upstream.
     fn update_slowness(&mut self, now: Time, upstream: &UpstreamName, task: &TaskId) {
         let Some(own) = self.runs.get(task) else { return };
-        let Some(rate) = own.rate() else { return };
+        let Some(rate) = own.normal_rate() else { return };
         let observed = match self.expected_rate(task, own) {
             Some(expected) => expected / rate,
             None => match (own.estimate_ratio(), self.typical_ratio(own.queue.as_ref())) {
@@ -306,7 +317,7 @@
     /// The rate that a run should have, judged by its siblings: that of the fastest member of its gang, or, where
     /// tasks differ in length, the median of its step. `None` if too few siblings have made progress.
     fn expected_rate(&self, task: &TaskId, own: &RunProgress) -> Option<f64> {
-        let rates = self.siblings(task, own.run).filter_map(RunProgress::rate);
+        let rates = self.siblings(task, own.run).filter_map(RunProgress::normal_rate);
         if own.is_gang {
             return rates.max_by(f64::total_cmp);
         }
