--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 42] = [
+pub const METRICS: [Metric; 44] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -238,6 +238,20 @@
         "accelerators",
         "Guaranteed accelerators that the upstreams outside drained data centres lack.",
     ),
+    metric(
+        "heathergrade_hosts_by_speed",
+        Gauge,
+        "class: fast, normal, slow, unknown",
+        "hosts",
+        "Hosts by their lasting speed relative to the median of their pool; set by the leader while `host-speeds` is in use.",
+    ),
+    metric(
+        "heathergrade_placements_by_speed",
+        Counter,
+        "class: fast, normal, slow, unknown; urgent: true, false",
+        "runs",
+        "Decided starts by the lasting speed of the host, while `host-speeds` is in use.",
+    ),
 ];
 
 /// Describes all metrics to the recorder, with meaning and unit.
--- a/crates/hg_control/src/snapshot.rs
+++ b/crates/hg_control/src/snapshot.rs
@@ -12,6 +12,7 @@
     let mut snapshot = encode(ledger);
     snapshot.extend(encode(ledger.workflows().crashes()));
     snapshot.extend(encode(ledger.workflows().drains()));
+    snapshot.extend(encode(ledger.workflows().host_speeds()));
     snapshot
 }
 
@@ -28,6 +29,9 @@
     if let Some(drains) = next_part(&mut rest)? {
         ledger.restore_drains(drains);
     }
+    if let Some(host_speeds) = next_part(&mut rest)? {
+        ledger.restore_host_speeds(host_speeds);
+    }
     Ok(ledger)
 }
 
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -13,6 +13,7 @@
 mod crash_evidence;
 mod dispatch;
 mod drains;
+mod host_speeds;
 mod leadership;
 mod log_lines;
 mod order;
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Crashes, Drains, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun,
-    QueueTerms, RunRef, RunStart, SavedProgress, StepRecord, TaskState, Waves, Workflow,
+    Crashes, Drains, EndedWorkflow, ExposedRun, HostSpeeds, LostRun, Occupancy, Occurrence,
+    OpenRun, QueueTerms, RunRef, RunStart, SavedProgress, StepRecord, TaskState, Waves, Workflow,
     WorkflowCommand, WorkflowEffect, WorkflowPhase,
 };
 
@@ -30,6 +30,9 @@
     /// Kept apart in snapshots as well.
     #[serde(skip)]
     drains: Drains,
+    /// Kept apart in snapshots for the same reason.
+    #[serde(skip)]
+    host_speeds: HostSpeeds,
 }
 
 /// Fewer crashes of upstreams under a task never fail its workflow.
@@ -107,6 +110,11 @@
         report.is_some_and(|report| self.drains.is_drained(&report.data_centre))
     }
 
+    /// The lasting relative run times of hosts.
+    pub const fn host_speeds(&self) -> &HostSpeeds {
+        &self.host_speeds
+    }
+
     /// When the oldest retained workflow in its final state ended; `None` if none is retained.
     pub fn oldest_end_time(&self) -> Option<Time> {
         self.ended.get(self.ended_order.front()?).map(|ended| ended.at)
@@ -183,10 +191,18 @@
                     effects.push(WorkflowEffect::Drain(data_centre));
                 }
             }
+            WorkflowCommand::HostSpeeds { changed, at } => {
+                self.host_speeds.record(changed, at, &self.upstreams);
+            }
         }
         effects
     }
 
+    /// Restores the speeds of hosts that a snapshot keeps apart.
+    pub(crate) fn restore_host_speeds(&mut self, host_speeds: HostSpeeds) {
+        self.host_speeds = host_speeds;
+    }
+
     /// Restores the crashes that a snapshot keeps apart.
     pub(crate) fn restore_crashes(&mut self, crashes: Crashes) {
         self.crashes = crashes;
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod drains;
 mod effect;
+mod host_speeds;
 mod ledger;
 mod occupancy;
 mod record;
@@ -15,6 +16,7 @@
 pub use crash::{Crashes, ExposedRun, TaskCrash, UpstreamCrash};
 pub use drains::{DRAINS_MAX, Drains};
 pub use effect::{RunRef, WorkflowEffect};
+pub use host_speeds::{HostSpeed, HostSpeeds};
 pub use ledger::WorkflowLedger;
 pub use occupancy::{Occupancy, OpenRun};
 pub use record::{
