Run times are learned, and work is ranked by its chance to be in time

Objectives follow the actual chain of work, but rank, remaining time and restarts used the callers' estimates: work that was still in time counted as late, work without a chance came before work with one, and tasks that are long by nature were restarted.

Where the ratios contradict the estimates by more than the queue's stretch, the rank follows from the chances to be in time and of value, and the remaining time of a run without a rate from the conditional distribution. Slow runs are judged by whether their upstream or the task is slow.

--- a/crates/hg_cli/src/day_report.rs
+++ b/crates/hg_cli/src/day_report.rs
@@ -8,6 +8,7 @@
 
 use derive_more::Display;
 
+use crate::job_chain::JobChain;
 use crate::log_line::LogLine;
 
 /// A job ended too late to be of value beyond this multiple of its latency objective.
@@ -84,8 +85,11 @@
     accepted_at: f64,
     priority: u64,
     account: String,
+    /// The latency objective by the caller's estimates.
     objective_s: f64,
     chain_s: f64,
+    /// What the objective by the actual work derives from; `None` in logs of earlier versions.
+    chain: Option<JobChain>,
     ended: Option<(f64, String)>,
     /// The runs of each task, in the order in which they were placed.
     tasks: BTreeMap<String, Vec<Run>>,
@@ -147,6 +151,7 @@
             account: line.text("account").unwrap_or("none").to_owned(),
             objective_s: seconds("objective_ms"),
             chain_s: seconds("chain_ms"),
+            chain: JobChain::of(line),
             ..Job::default()
         });
     }
@@ -198,15 +203,27 @@
             _ => {}
         }
         let took = ended_at - self.accepted_at;
-        if took <= self.objective_s {
+        let objective_s = self.actual_objective_s().unwrap_or(self.objective_s);
+        if took <= objective_s {
             Verdict::InTime
-        } else if took <= self.objective_s * LATE_FACTOR {
+        } else if took <= objective_s * LATE_FACTOR {
             Verdict::Late
         } else {
             Verdict::TooLate
         }
     }
 
+    /// The latency objective by the longest chain of actual run times, as callers see it; `None` if not all of the
+    /// chain is in the logs.
+    fn actual_objective_s(&self) -> Option<f64> {
+        let completed =
+            self.tasks.iter().flat_map(|(task, runs)| runs.iter().map(move |r| (task, r)));
+        self.chain.as_ref()?.objective_s(completed.filter_map(|(task, run)| {
+            let end = run.ended.as_ref().filter(|end| end.kind == "Done")?;
+            Some((task.as_str(), end.at - run.placed_at))
+        }))
+    }
+
     /// The seconds between acceptance and end, by cause.
     fn time_by_cause(&self) -> BTreeMap<Cause, f64> {
         let mut causes = BTreeMap::new();
--- a/crates/hg_cli/src/main.rs
+++ b/crates/hg_cli/src/main.rs
@@ -6,6 +6,7 @@
 mod day_report;
 mod exit;
 mod explain;
+mod job_chain;
 mod jobs;
 mod keys;
 mod lists;
--- a/crates/hg_cli/tests/explain.rs
+++ b/crates/hg_cli/tests/explain.rs
@@ -140,6 +140,42 @@
     Ok(())
 }
 
+/// A job that ran 3 s and 4 s by estimates of 1 s each; its queue allows 1.5 times the work and 0.25 s.
+fn job_with_long_runs(job: &str, ended_at: f64, more: &str) -> Vec<String> {
+    let fields = format!(
+        r#""job":"{job}","priority":0,"account":"lindqvist","chain_ms":2000,"objective_ms":3250{more}"#
+    );
+    let task = |step: u32| format!("{job}.0.{step}.0");
+    vec![
+        line(1.0, "workflow.accepted", &fields),
+        of_task(1.0, "run.placed", &task(0), ""),
+        of_task(4.0, "run.ended", &task(0), r#","kind":"Done""#),
+        of_task(ended_at - 4.0, "run.placed", &task(1), ""),
+        of_task(ended_at, "run.ended", &task(1), r#","kind":"Done""#),
+        line(ended_at, "workflow.ended", &format!(r#""job":"{job}","state":"completed""#)),
+    ]
+}
+
+/// Guards against an objective by the estimates, by which jobs are late that are in time for their callers.
+#[test]
+fn explain_day_judges_jobs_by_their_actual_chain_of_work() -> eyre::Result<()> {
+    // The objective is 10.75 s, and 6.25 s if the steps do not depend on each other.
+    let terms = r#","stretch_milli":1500,"objective_base_ms":250"#;
+    let (chained, parallel) =
+        (format!(r#"{terms},"after":";0""#), format!(r#"{terms},"after":";""#));
+    let jobs =
+        [("a", 11.7, &*chained), ("b", 11.8, &chained), ("c", 8.0, &parallel), ("d", 8.0, "")];
+    let log: Vec<String> =
+        jobs.into_iter().flat_map(|(job, end, more)| job_with_long_runs(job, end, more)).collect();
+    let report = explain_output("--day", &log.join("\n"))?;
+    assert!(report.contains("priority 0: 4 jobs: 1 in time, 3 late"), "{report}");
+    let estimates_only: Vec<String> =
+        ["a", "b"].into_iter().flat_map(|job| job_with_long_runs(job, 11.7, "")).collect();
+    let report = explain_output("--day", &estimates_only.join("\n"))?;
+    assert!(report.contains("priority 0: 2 jobs: 2 too late"), "{report}");
+    Ok(())
+}
+
 #[test]
 fn explain_names_the_upstreams_that_a_task_crashed() -> eyre::Result<()> {
     let log = [
--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 39] = [
+pub const METRICS: [Metric; 40] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -229,6 +229,13 @@
         "calls",
         "Advice requests for where a step may run.",
     ),
+    metric(
+        "heathergrade_estimate_ratio",
+        Gauge,
+        "queue; quantile: 0.5, 0.9",
+        "ratio",
+        "Learned run time of completed runs, relative to their callers' estimates.",
+    ),
 ];
 
 /// Describes all metrics to the recorder, with meaning and unit.
--- a/crates/hg_control/src/snapshot.rs
+++ b/crates/hg_control/src/snapshot.rs
@@ -4,12 +4,14 @@
 //! that ends early lacks the later parts, and an earlier version ignores what follows the part that it knows.
 
 use hg_ledger::Ledger;
-use hg_link::{LinkCause, decode, decode_prefix, encode};
+use hg_link::{LinkCause, decode_prefix, encode};
+use serde::de::DeserializeOwned;
 
 /// Encodes a ledger.
 pub fn encode_ledger(ledger: &Ledger) -> Vec<u8> {
     let mut snapshot = encode(ledger);
     snapshot.extend(encode(ledger.workflows().crashes()));
+    snapshot.extend(encode(ledger.workflows().run_times()));
     snapshot
 }
 
@@ -19,9 +21,22 @@
 ///
 /// [`LinkCause`] if the snapshot is malformed or of an unknown version.
 pub fn decode_ledger(snapshot: &[u8]) -> Result<Ledger, LinkCause> {
-    let (mut ledger, rest): (Ledger, _) = decode_prefix(snapshot)?;
-    if !rest.is_empty() {
-        ledger.restore_crashes(decode(rest)?);
+    let (mut ledger, mut rest): (Ledger, _) = decode_prefix(snapshot)?;
+    if let Some(crashes) = next_part(&mut rest)? {
+        ledger.restore_crashes(crashes);
+    }
+    if let Some(run_times) = next_part(&mut rest)? {
+        ledger.restore_run_times(run_times);
     }
     Ok(ledger)
 }
+
+/// Decodes the part at the beginning of `rest` and moves past it; `None` if the snapshot ends before it.
+fn next_part<T: DeserializeOwned>(rest: &mut &[u8]) -> Result<Option<T>, LinkCause> {
+    if rest.is_empty() {
+        return Ok(None);
+    }
+    let (part, after) = decode_prefix(rest)?;
+    *rest = after;
+    Ok(Some(part))
+}
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hg_ledger::{Command, WorkflowCommand, WorkflowEffect};
-use hg_model::{Term, Time};
+use hg_model::{EndKind, Term, Time};
 use hg_policy::{HostMove, RunStop, WorkflowBounds, WorkflowPolicies, WorkflowScheduler};
 use hg_replica::Disk;
 use slog::{debug, info};
@@ -98,6 +98,7 @@
         self.actions.platform_calls.extend(leadership.platform_calls.advance(now, ledger));
         self.carry_out_work(now, work);
         self.decide_workflows(now);
+        self.replicate_run_times(now);
         self.clean_up_workflows(now);
     }
 
@@ -236,7 +237,10 @@
         let ledger = self.ledger.workflows();
         leadership.changed = true;
         match effect {
-            WorkflowEffect::RunOpened(run) => leadership.sessions.open_run(run),
+            WorkflowEffect::RunOpened(run) => {
+                leadership.sessions.open_run(run);
+                leadership.scheduler.record_run_opened(ledger, run);
+            }
             WorkflowEffect::RunClosed(run) => {
                 leadership.sessions.close_run(run);
                 leadership.broken_gangs.record_run_closed(run);
@@ -272,9 +276,12 @@
         if let WorkflowCommand::Accept { terms, .. } = command {
             telemetry::record_accepted(terms.priority == 0);
         }
-        if let WorkflowCommand::RunsEnded { upstream, incarnation, ends, .. } = command {
+        if let WorkflowCommand::RunsEnded { upstream, incarnation, ends, at } = command {
             for end in ends {
                 telemetry::record_end(end.kind);
+                if end.kind == EndKind::Done {
+                    leadership.scheduler.record_completed(*at, end);
+                }
                 leadership.scheduler.record_end(now, upstream, &end.task.step.job, end.kind);
                 leadership.broken_gangs.record_end(end);
             }
--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -1,6 +1,7 @@
 //! Log lines about workflows: one for each command that took effect and each order that failed.
 
 use hg_ledger::WorkflowCommand;
+use hg_model::{StepSpec, WorkflowSpec};
 use hg_replica::Disk;
 use slog::{info, warn};
 
@@ -32,7 +33,9 @@
                     "queue" => %terms.queue, "priority" => terms.priority,
                     "account" => account.as_ref().map(ToString::to_string),
                     "steps" => spec.steps.len(), "chain_ms" => spec.estimated_chain_ms(),
-                    "objective_ms" => terms.latency_objective_ms(spec));
+                    "objective_ms" => terms.latency_objective_ms(spec),
+                    "stretch_milli" => terms.stretch_milli, "objective_base_ms" => terms.objective_ms,
+                    "after" => dependencies(spec));
             }
             WorkflowCommand::Cancel { id, .. } => {
                 info!(self.log, "workflow: cancelled"; "event" => "workflow.cancelled", "job" => %id);
@@ -86,6 +89,14 @@
             // These were logged with their reasons when they were decided.
             WorkflowCommand::UpstreamCrashed { .. } | WorkflowCommand::GiveUp { .. } => {}
             WorkflowCommand::Forget { .. } => {}
+            WorkflowCommand::RunTimesLearned { changes, .. } => self.log_run_times(changes),
         }
     }
 }
+
+/// The numbers of the steps that each step follows: separated by commas, and by semicolons between steps.
+fn dependencies(spec: &WorkflowSpec) -> String {
+    let of_step =
+        |step: &StepSpec| step.after.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+    spec.steps.iter().map(of_step).collect::<Vec<_>>().join(";")
+}
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -19,6 +19,7 @@
 mod platform_reports;
 mod reports;
 mod request;
+mod run_times;
 mod session;
 mod sessions;
 mod telemetry;
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -6,6 +6,7 @@
 use hg_model::{EndKind, JobId, Time, WorkflowState};
 use hg_policy::{Rejection, StopReason};
 
+use super::run_times::set_run_time_gauges;
 use super::{Order, OrderKind, OrderResult};
 
 pub(super) fn record_accepted(is_urgent: bool) {
@@ -113,4 +114,5 @@
     metrics::gauge!("hg_workflow_accelerators").set(accelerators.sum::<f64>());
     metrics::gauge!("hg_workflow_suspects").set(ledger.crashes().tasks().len() as f64);
     metrics::gauge!("hg_workflow_shunned").set(excluded as f64);
+    set_run_time_gauges(ledger.run_times());
 }
--- a/crates/hg_control/tests/snapshot.rs
+++ b/crates/hg_control/tests/snapshot.rs
@@ -1,7 +1,9 @@
 //! Snapshots and log entries of earlier versions are still read, and earlier versions read those of this one.
 
+use std::collections::BTreeMap;
+
 use hg_control::{decode_ledger, encode_ledger};
-use hg_ledger::{Command, ExposedRun, Ledger, WorkflowCommand};
+use hg_ledger::{Command, ExposedRun, Ledger, RunTimeChange, RunTimeKey, WorkflowCommand};
 use hg_link::{VERSION, decode, encode};
 use hg_model::{
     DataCentreName, Incarnation, JobId, PoolName, QueueName, QueueSpec, RackName, ResourceVector,
@@ -95,6 +97,38 @@
     assert!(decode_ledger(&snapshot[..snapshot.len() - 1]).is_err());
 }
 
+/// A ledger that has learned the time of some runs, beside the crash of an upstream.
+fn ledger_with_run_times() -> Ledger {
+    let mut ledger = ledger(true);
+    let queue = QueueName::new("queue").expect("a good name");
+    let key = RunTimeKey { queue, image: None };
+    let changes = vec![RunTimeChange { key, runs: BTreeMap::from([(32, 40), (60, 3)]) }];
+    let at = Time(3_000);
+    ledger.apply(Command::Workflow(WorkflowCommand::RunTimesLearned { changes, at }));
+    ledger
+}
+
+#[test]
+fn decode_ledger_keeps_run_times() {
+    let ledger = ledger_with_run_times();
+    assert_eq!(ledger.workflows().run_times().distributions().len(), 1);
+    assert_eq!(decode_ledger(&encode_ledger(&ledger)).expect("readable"), ledger);
+}
+
+#[test]
+fn decode_ledger_reads_a_snapshot_without_run_times() {
+    let ledger = ledger(true);
+    let mut snapshot = encode(&ledger);
+    snapshot.extend(encode(ledger.workflows().crashes()));
+    assert_eq!(decode_ledger(&snapshot).expect("readable"), ledger);
+}
+
+#[test]
+fn earlier_version_reads_a_snapshot_with_run_times() {
+    let read: Ledger = decode(&encode_ledger(&ledger_with_run_times())).expect("readable");
+    assert_eq!(read, ledger(false));
+}
+
 /// Commands are encoded by their position in the enum, so new ones come last.
 #[test]
 fn encode_keeps_the_position_of_commands() {
--- a/crates/hg_ledger/src/lib.rs
+++ b/crates/hg_ledger/src/lib.rs
@@ -22,8 +22,8 @@
     ENDED_MAX, ENDED_WITH_NOTES_MAX, FAILURES_MAX, NOTES_MAX, OPERATIONS_MAX, REFUSALS_MAX,
 };
 pub use workflow::{
-    Crashes, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun, QueueTerms,
-    RunRef, RunStart, SavedProgress, StepRecord, TaskCrash, TaskRecord, TaskState, UnconfirmedEnd,
-    UpkeepStage, UpstreamCrash, Wave, Waves, Workflow, WorkflowCommand, WorkflowEffect,
-    WorkflowLedger, WorkflowPhase,
+    Crashes, EndedWorkflow, ExposedRun, LearnedRunTimes, LostRun, Occupancy, Occurrence, OpenRun,
+    QueueTerms, RatioCounts, RunRef, RunStart, RunTimeChange, RunTimeKey, SavedProgress,
+    StepRecord, TaskCrash, TaskRecord, TaskState, UnconfirmedEnd, UpkeepStage, UpstreamCrash, Wave,
+    Waves, Workflow, WorkflowCommand, WorkflowEffect, WorkflowLedger, WorkflowPhase,
 };
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -6,7 +6,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{ExposedRun, QueueTerms, UpkeepStage};
+use super::{ExposedRun, QueueTerms, RunTimeChange, UpkeepStage};
 
 /// A decided start of a run. It is committed to the log before it is ordered at any upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -177,4 +177,11 @@
         /// When it was decided.
         at: Time,
     },
+    /// Adds completed runs to what is known of run times.
+    RunTimesLearned {
+        /// The runs, by queue and image.
+        changes: Vec<RunTimeChange>,
+        /// When it was decided.
+        at: Time,
+    },
 }
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -9,9 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Crashes, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun, QueueTerms,
-    RunRef, RunStart, SavedProgress, StepRecord, TaskState, Waves, Workflow, WorkflowCommand,
-    WorkflowEffect, WorkflowPhase,
+    Crashes, EndedWorkflow, ExposedRun, LearnedRunTimes, LostRun, Occupancy, Occurrence, OpenRun,
+    QueueTerms, RunRef, RunStart, RunTimeChange, SavedProgress, StepRecord, TaskState, Waves,
+    Workflow, WorkflowCommand, WorkflowEffect, WorkflowPhase,
 };
 
 /// Catalog, registered upstreams, workflows, open runs and maintenance waves.
@@ -27,6 +27,9 @@
     /// Kept apart in snapshots, so that those of versions without it can still be read.
     #[serde(skip)]
     pub(super) crashes: Crashes,
+    /// Kept apart in snapshots like the crashes.
+    #[serde(skip)]
+    run_times: LearnedRunTimes,
 }
 
 /// Fewer crashes of upstreams under a task never fail its workflow.
@@ -93,6 +96,11 @@
         &self.crashes
     }
 
+    /// How long runs took, relative to their estimates.
+    pub const fn run_times(&self) -> &LearnedRunTimes {
+        &self.run_times
+    }
+
     /// When the oldest retained workflow in its final state ended; `None` if none is retained.
     pub fn oldest_end_time(&self) -> Option<Time> {
         self.ended.get(self.ended_order.front()?).map(|ended| ended.at)
@@ -159,6 +167,7 @@
                     self.end_early(&task.step.job, WorkflowState::Failed, at, &mut effects);
                 }
             }
+            WorkflowCommand::RunTimesLearned { changes, at } => self.learn_run_times(changes, at),
         }
         effects
     }
@@ -168,6 +177,20 @@
         self.crashes = crashes;
     }
 
+    /// Restores the run times that a snapshot keeps apart.
+    pub(crate) fn restore_run_times(&mut self, run_times: LearnedRunTimes) {
+        self.run_times = run_times;
+    }
+
+    /// Adds completed runs of queues that the catalog in force has.
+    fn learn_run_times(&mut self, mut changes: Vec<RunTimeChange>, at: Time) {
+        if let Some(catalog) = &self.catalog {
+            let queues: BTreeSet<_> = catalog.queues.iter().map(|queue| &queue.name).collect();
+            changes.retain(|change| queues.contains(&change.key.queue));
+        }
+        self.run_times.add(changes, at);
+    }
+
     fn crash_upstream(
         &mut self,
         name: UpstreamName,
@@ -192,6 +215,8 @@
 
     fn put_catalog(&mut self, catalog: Catalog, effects: &mut Vec<WorkflowEffect>) {
         if self.catalog.as_ref().is_none_or(|current| current.version < catalog.version) {
+            let queues = catalog.queues.iter().map(|queue| &queue.name);
+            self.run_times.retain_queues(&queues.collect());
             self.catalog = Some(catalog);
             effects.push(WorkflowEffect::Catalog);
         }
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -8,6 +8,7 @@
 mod occupancy;
 mod record;
 mod run_end;
+mod run_times;
 mod waves;
 
 pub use command::{LostRun, RunStart, SavedProgress, WorkflowCommand};
@@ -19,4 +20,5 @@
     EndedWorkflow, Occurrence, QueueTerms, StepRecord, TaskRecord, TaskState, UnconfirmedEnd,
     Workflow, WorkflowPhase,
 };
+pub use run_times::{LearnedRunTimes, RatioCounts, RunTimeChange, RunTimeKey};
 pub use waves::{UpkeepStage, Wave, Waves};
--- a/crates/hg_policy/src/lib.rs
+++ b/crates/hg_policy/src/lib.rs
@@ -45,6 +45,7 @@
 pub use wait::WaitReason;
 pub use workflow::{
     AdviceRequest, BoundError, FleetObservations, HostMove, PaceChange, Rejection, RunStop,
-    StopReason, TicketCache, UnknownPolicy, UpkeepOrder, WorkflowBounds, WorkflowDecisions,
-    WorkflowPolicies, WorkflowPolicy, WorkflowScheduler, admit,
+    RunTimeSummary, StopReason, TicketCache, UnknownPolicy, UpkeepOrder, WorkflowBounds,
+    WorkflowDecisions, WorkflowPolicies, WorkflowPolicy, WorkflowScheduler, admit,
+    run_time_summaries,
 };
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -15,6 +15,8 @@
 //! * `preemption` finds the cheapest work to stop for an urgent step (load: a full pool).
 //! * `evacuation` moves work off upstreams that are about to leave (load: a pool that is rolled).
 //! * `speed_tracker` detects upstreams that are slow or stalled (load: workers that slow down).
+//! * `run_times` learns how long runs take relative to their estimates (load: estimates that are too low by a factor of
+//!   2 to 9, and tasks that are long by nature).
 //! * `crash_guard` and `isolation` decide which tasks are suspected of crashing their upstreams, where
 //!   they start and which are given up (load: a task that crashes each upstream that starts it).
 //! * `pace_controller` slows best-effort work (load: best-effort work that disturbs tasks that
@@ -47,6 +49,7 @@
 mod ready_steps;
 mod reservation;
 mod run_table;
+mod run_times;
 mod scheduler;
 mod speed_tracker;
 mod standby;
@@ -58,6 +61,7 @@
 pub use fleet_observations::FleetObservations;
 pub use pace_controller::PaceChange;
 pub use policies::{UnknownPolicy, WorkflowPolicies, WorkflowPolicy};
+pub use run_times::{RunTimeSummary, run_time_summaries};
 pub use scheduler::{RunStop, StopReason, WorkflowDecisions, WorkflowScheduler};
 pub use standby::HostMove;
 pub use ticket_cache::{AdviceRequest, TicketCache};
--- a/crates/hg_policy/src/workflow/ready_steps.rs
+++ b/crates/hg_policy/src/workflow/ready_steps.rs
@@ -11,9 +11,19 @@
 use hg_ledger::{Occurrence, StepRecord, TaskState, Workflow, WorkflowLedger};
 use hg_model::{JobId, RunNumber, StepId, StepSpec, Time, UpstreamName};
 
+use super::run_times::{Chances, RunTimes};
+
 /// A job that takes longer than this multiple of its latency objective has no value any more.
 const LATE_FACTOR: u64 = 3;
 
+/// A job has an outlook if its chance of it is at least this.
+const CHANCE_MIN: f64 = 0.05;
+/// From this chance on, the deadline alone orders work of the same outlook. Earliest deadlines first brings each job
+/// close to this chance where there is more work than capacity, so it must be high.
+const CHANCE_GOOD: f64 = 0.75;
+/// The steps of doubt between a certain outlook and none.
+const DOUBT_STEPS: f64 = 10.0;
+
 /// Once a workflow has this many tasks that may start, its later occurrences wait for the earlier ones. As many as a single
 /// occurrence may have.
 const WAITING_MAX: usize = 10_000;
@@ -36,6 +46,9 @@
     /// Urgent work beyond its account's guarantee is served after urgent work within a guarantee.
     is_uncovered: bool,
     outlook: Outlook,
+    /// How doubtful the outlook is, by learned run times; 0 if it is likely, or derives from the estimate. Doubtful
+    /// work is served later, since waiting costs it less and its run is more often in vain.
+    doubt: u8,
     deadline: Time,
 }
 
@@ -94,22 +107,31 @@
     now: Time,
     ledger: &'a WorkflowLedger,
     covered: &BTreeSet<JobId>,
+    run_times: &RunTimes,
 ) -> Vec<ReadyStep<'a>> {
     let mut ready = Vec::new();
     for (id, job) in ledger.jobs() {
         if job.is_active() {
-            collect_ready(now, id, job, covered.contains(id), &mut ready);
+            let cx = RankContext { now, is_covered: covered.contains(id), run_times };
+            collect_ready(&cx, id, job, &mut ready);
         }
     }
     ready.sort_by(ReadyStep::order);
     ready
 }
 
-fn collect_ready<'a>(
+/// What the rank of a step depends on beside its job.
+struct RankContext<'a> {
     now: Time,
+    /// Whether a guarantee covers the job.
+    is_covered: bool,
+    run_times: &'a RunTimes,
+}
+
+fn collect_ready<'a>(
+    cx: &RankContext<'_>,
     id: &JobId,
     job: &'a Workflow,
-    is_covered: bool,
     ready: &mut Vec<ReadyStep<'a>>,
 ) {
     let mut waiting_count = 0;
@@ -121,14 +143,14 @@
             Some(schedule) => Time(schedule.due_ms(number)),
             None => job.accepted_at,
         };
-        if job.spec.schedule.is_some() && due > now {
+        if job.spec.schedule.is_some() && due > cx.now {
             return;
         }
         if job.finished.contains(&number) {
             continue;
         }
         let occurrence = job.occurrence(number);
-        let rank = rank(now, job, due, is_covered);
+        let mut known_rank = None;
         for (step, spec) in (0_u32..).zip(&job.spec.steps) {
             let waiting = waiting_tasks(spec, step, occurrence);
             if waiting.is_empty() {
@@ -139,6 +161,7 @@
                 continue;
             }
             waiting_count += waiting.len();
+            let rank = *known_rank.get_or_insert_with(|| rank(cx, job, occurrence, due));
             let id = StepId { job: id.clone(), occurrence: number, step };
             ready.push(ReadyStep { id, job, spec, record, waiting, rank, due, allowed: None });
         }
@@ -162,7 +185,26 @@
     tasks.filter(|(_, task)| task.is_waiting()).map(|(index, _)| index).collect()
 }
 
-fn rank(now: Time, job: &Workflow, due: Time, is_covered: bool) -> Rank {
+fn rank(cx: &RankContext<'_>, job: &Workflow, occurrence: Option<&Occurrence>, due: Time) -> Rank {
+    let priority = job.terms.priority;
+    let is_uncovered = priority == 0 && !cx.is_covered;
+    let (outlook, doubt, deadline) = match cx.run_times.chances(cx.now, due, job, occurrence) {
+        Some(chances) => {
+            let objective = Duration::try_from_secs_f64(chances.objective_ms / 1_000.0);
+            let deadline = due.after(objective.unwrap_or(Duration::MAX));
+            let (outlook, doubt) = learned_outlook(&chances);
+            (outlook, doubt, deadline)
+        }
+        None => {
+            let (outlook, deadline) = estimated_outlook(cx.now, job, due);
+            (outlook, 0, deadline)
+        }
+    };
+    Rank { priority, is_uncovered, outlook, doubt, deadline }
+}
+
+/// The outlook and the deadline by the caller's estimates.
+fn estimated_outlook(now: Time, job: &Workflow, due: Time) -> (Outlook, Time) {
     let chain_ms = job.spec.estimated_chain_ms();
     let objective_ms = job.terms.latency_objective_ms(&job.spec);
     let after = |ms: u64| due.after(Duration::from_millis(ms));
@@ -174,7 +216,22 @@
     } else {
         Outlook::Overdue
     };
-    let priority = job.terms.priority;
-    let is_uncovered = priority == 0 && !is_covered;
-    Rank { priority, is_uncovered, outlook, deadline: after(objective_ms) }
+    (outlook, after(objective_ms))
+}
+
+/// The outlook by the learned run times, with the doubt about it.
+fn learned_outlook(chances: &Chances) -> (Outlook, u8) {
+    if chances.in_time >= CHANCE_MIN {
+        (Outlook::OnTime, doubt(chances.in_time))
+    } else if chances.of_value >= CHANCE_MIN {
+        (Outlook::Late, doubt(chances.of_value))
+    } else {
+        (Outlook::Overdue, 0)
+    }
+}
+
+/// The doubt that goes with a chance; 0 if the chance is good.
+fn doubt(chance: f64) -> u8 {
+    // At most 10, since chances are not negative.
+    ((CHANCE_GOOD - chance).max(0.0) * DOUBT_STEPS).ceil() as u8
 }
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use hg_ledger::{RunRef, RunStart, WorkflowLedger};
-use hg_model::{EndKind, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
+use hg_ledger::{RunRef, RunStart, RunTimeChange, WorkflowLedger};
+use hg_model::{EndKind, JobId, RunEnd, RunListing, StepId, TaskId, Time, UpstreamName};
 
 use super::capacity_map::CapacityMap;
 use super::crash_guard::CrashGuard;
@@ -21,12 +21,13 @@
 use super::ready_steps::{ReadyStep, ready_steps};
 use super::reservation::{DrainTimes, reserve};
 use super::run_table::RunTable;
+use super::run_times::RunTimes;
 use super::speed_tracker::{ExpectedRun, SpeedTracker};
 use super::standby::StandbyHosts;
 use super::wave_scheduler::WaveScheduler;
 use super::{
     AdviceRequest, FleetObservations, HostMove, PaceChange, TicketCache, UpkeepOrder,
-    WorkflowBounds, WorkflowPolicies,
+    WorkflowBounds, WorkflowPolicies, WorkflowPolicy,
 };
 use crate::{HealthState, UpstreamHealth};
 
@@ -35,6 +36,9 @@
 /// Length of an upstream's first quarantine; each further one is twice as long.
 const QUARANTINE_FIRST: Duration = Duration::from_secs(4);
 
+/// The time that runs take on a host, relative to a normal one, while the lasting speeds of hosts are not known.
+const NORMAL_HOST_FACTOR: f64 = 1.0;
+
 /// Why a run is stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum StopReason {
@@ -150,6 +154,9 @@
     /// Sets the optional policies that it uses.
     #[must_use]
     pub fn with_policies(mut self, policies: WorkflowPolicies) -> Self {
+        if policies.uses(WorkflowPolicy::RunTimes) {
+            self.speeds.run_times = RunTimes::enabled();
+        }
         self.policies = policies;
         self
     }
@@ -172,10 +179,26 @@
         }
     }
 
+    /// Records that the start of a run is committed.
+    pub fn record_run_opened(&mut self, ledger: &WorkflowLedger, run: &RunRef) {
+        self.speeds.run_times.record_open(ledger, &run.upstream, &run.task);
+    }
+
+    /// Records that a run completed at `at`, before it is recorded as closed: its run time is learned from.
+    pub fn record_completed(&mut self, at: Time, end: &RunEnd) {
+        self.speeds.run_times.record_completed(at, &end.task, end.run, NORMAL_HOST_FACTOR);
+    }
+
+    /// The completed runs that are to be added to the replicated run times; empty unless that is due.
+    pub fn take_run_time_changes(&mut self, now: Time) -> Vec<RunTimeChange> {
+        self.speeds.run_times.take_changes(now)
+    }
+
     /// Records that a run is over, whatever its outcome.
     pub fn record_run_closed(&mut self, run: &RunRef) {
         self.stopping.remove(run);
         self.speeds.record_run_closed(run);
+        self.speeds.run_times.record_closed(&run.task);
         self.paces.forget(&run.task);
     }
 
@@ -188,15 +211,20 @@
         upstream: &UpstreamName,
         listing: &RunListing,
     ) -> Vec<PaceChange> {
+        self.speeds.run_times.refresh(ledger.run_times());
         for listed in &listing.running {
+            self.speeds.run_times.record_open(ledger, upstream, &listed.task);
             let step = &listed.task.step;
             let (job, spec) = (ledger.job(&step.job), ledger.step_spec(step));
             let expected = ExpectedRun {
                 queue: job.map(|job| &job.terms.queue),
+                stretch_milli: job.map_or(0, |job| job.terms.stretch_milli),
+                image: spec.and_then(|spec| spec.image.as_ref()),
                 estimate_ms: spec.map_or(0, |spec| spec.estimate_ms),
                 is_gang: spec.is_some_and(|spec| spec.gang),
             };
-            self.speeds.record_listed(now, upstream, listing.clock, listed, expected);
+            let (speeds, running) = (&mut self.speeds, &listing.running);
+            speeds.record_listed(now, upstream, listing.clock, listed, running, expected);
         }
         self.paces.record_listing(now, ledger, upstream, listing)
     }
@@ -231,6 +259,7 @@
         ledger: &WorkflowLedger,
         fleet: &FleetObservations,
     ) -> WorkflowDecisions {
+        self.speeds.run_times.refresh(ledger.run_times());
         let covered = covered_jobs(ledger);
         let mut capacity = CapacityMap::new(ledger, fleet);
         capacity.exclude(self.speeds.too_slow(now));
@@ -267,7 +296,8 @@
 
     /// The steps that may start now, each with the upstreams that it is allowed on.
     fn ready<'a>(&self, round: &Round<'a>) -> Vec<ReadyStep<'a>> {
-        let mut ready = ready_steps(round.now, round.ledger, &round.covered);
+        let mut ready =
+            ready_steps(round.now, round.ledger, &round.covered, &self.speeds.run_times);
         for step in ready.iter_mut().filter(|step| step.job.terms.advice.is_some()) {
             step.allowed = Some(self.tickets.allowed(round.now, &step.id, &round.capacity));
         }
--- a/crates/hg_policy/src/workflow/speed_tracker.rs
+++ b/crates/hg_policy/src/workflow/speed_tracker.rs
@@ -11,9 +11,12 @@
 use std::time::Duration;
 
 use hg_ledger::{OpenRun, RunRef, WorkflowLedger};
-use hg_model::{ClockReading, ListedRun, QueueName, RunNumber, StepId, TaskId, Time, UpstreamName};
+use hg_model::{
+    ClockReading, ImageName, ListedRun, QueueName, RunNumber, StepId, TaskId, Time, UpstreamName,
+};
 
 use super::placement::percent_of;
+use super::run_times::{Companions, RunKind, RunTimes, SlowRun};
 
 /// Progress is compared only over at least this share of a task, in percent: smaller differences
 /// are dominated by rounding.
@@ -52,6 +55,8 @@
 const TOO_SLOW_FACTOR: f64 = 2.5;
 /// Upstreams slower than the median by this factor are the second choice for gangs.
 const SLOWER_FACTOR: f64 = 1.15;
+/// A run that is less likely than this to be slow because of its upstream is no evidence against it.
+const SLOW_CHANCE_MIN: f64 = 0.5;
 /// A restart must end sooner than the present run by this factor, since estimates are inaccurate.
 const RESTART_GAIN_MIN: f64 = 1.5;
 
@@ -59,6 +64,9 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ExpectedRun<'a> {
     pub(crate) queue: Option<&'a QueueName>,
+    /// The stretch of the queue, in thousandths.
+    pub(crate) stretch_milli: u32,
+    pub(crate) image: Option<&'a ImageName>,
     /// The caller's estimate of the run time; 0 if there is none.
     pub(crate) estimate_ms: u64,
     /// Whether it is a member of a gang, all of which have equal work.
@@ -69,8 +77,13 @@
 struct RunProgress {
     run: RunNumber,
     queue: Option<QueueName>,
+    stretch_milli: u32,
+    image: Option<ImageName>,
     estimate_ms: u64,
     is_gang: bool,
+    /// The probability that the run is slow because of its upstream; `None` unless its queue is known to have tasks
+    /// that are long by nature.
+    chance_of_slow_upstream: Option<f64>,
     /// Percent done, and the upstream's clock at that time: the local time would include how long
     /// the listing waited before it was processed.
     first: (u32, ClockReading),
@@ -93,6 +106,13 @@
         (self.estimate_ms > 0).then(|| total_ms / self.estimate_ms as f64)
     }
 
+    /// What its run time depends on, for queries of learned run times.
+    fn kind(&self) -> Option<RunKind<'_>> {
+        let estimate = Duration::from_millis(self.estimate_ms);
+        let (queue, image) = (self.queue.as_ref()?, self.image.as_ref());
+        Some(RunKind { queue, image, stretch_milli: self.stretch_milli, estimate })
+    }
+
     /// Whether any progress was made since the first observation.
     const fn has_progressed(&self) -> bool {
         self.last.0 > self.first.0
@@ -115,6 +135,8 @@
     upstreams: BTreeMap<UpstreamName, Slowness>,
     /// The latest ratios of run time to estimate, by queue.
     ratios: BTreeMap<QueueName, VecDeque<f64>>,
+    /// Learned distributions of run times; without effect unless that policy is in use.
+    pub(crate) run_times: RunTimes,
 }
 
 /// Queries.
@@ -154,8 +176,8 @@
         self.runs.get(task).is_some_and(|progress| progress.run == run && progress.last.0 >= 100)
     }
 
-    /// The remaining run time on the present upstream, by the run's own rate or else by its
-    /// caller's estimate.
+    /// The remaining run time on the present upstream, by the run's own rate, or else by the learned run times, or
+    /// else by its caller's estimate.
     pub(crate) fn time_left(
         &self,
         now: Time,
@@ -168,8 +190,57 @@
             let left = f64::from(100 - progress.last.0.min(100));
             Some(Duration::from_secs_f64(left / progress.rate()? / 1_000.0))
         });
+        let elapsed = now.since(open.since);
         let estimate = Duration::from_millis(estimate_ms);
-        by_rate.unwrap_or_else(|| estimate.saturating_sub(now.since(open.since)))
+        let learned = || {
+            // A run with more progress may have resumed saved work, which its elapsed time does not show.
+            let begun = progress.filter(|progress| progress.last.0 < PROGRESS_MIN_PERCENT)?;
+            Some(self.run_times.remaining(&begun.kind()?, elapsed)?.quantile(0.5))
+        };
+        by_rate.or_else(learned).unwrap_or_else(|| estimate.saturating_sub(elapsed))
+    }
+
+    /// What the other runs that an upstream listed show about its speed.
+    fn companions(&self, task: &TaskId, listed: &[ListedRun]) -> Companions {
+        let others = listed.iter().filter(|other| other.task != *task);
+        let progress = others.filter_map(|other| Some((other.run, self.runs.get(&other.task)?)));
+        let current = progress.filter(|(run, progress)| progress.run == *run);
+        let mut ratios = current.filter_map(|(_, progress)| progress.estimate_ratio()).peekable();
+        if ratios.peek().is_none() {
+            return Companions::Unknown;
+        }
+        let is_slow = ratios.all(|ratio| ratio >= TOO_SLOW_FACTOR);
+        if is_slow { Companions::Slow } else { Companions::Normal }
+    }
+
+    /// The probability that a run is slow because of its upstream; `None` if there is no reason to doubt it.
+    fn chance_of_slow_upstream(&self, task: &TaskId, listed: &[ListedRun]) -> Option<f64> {
+        let own = self.runs.get(task).filter(|own| !own.is_gang)?;
+        let run = SlowRun {
+            ratios: self.run_times.of_long_tasks(&own.kind()?)?,
+            ratio: own.estimate_ratio()?,
+        };
+        Some(run.chance_of_slow_upstream(self.companions(task, listed)))
+    }
+
+    /// Whether a run would end sooner elsewhere: by the learned run times if they are known, else by how slow its
+    /// upstream is.
+    fn is_worth_restart(
+        &self,
+        ledger: &WorkflowLedger,
+        task: &TaskId,
+        progress: &RunProgress,
+        factor: f64,
+    ) -> bool {
+        let Some(chance_of_slow) = progress.chance_of_slow_upstream else {
+            return is_worth_restart(ledger, task, progress, factor);
+        };
+        let Some((left, again)) = work_left(ledger, task, progress) else { return false };
+        let ratios = progress.kind().and_then(|kind| self.run_times.of_long_tasks(&kind));
+        let run = ratios.zip(progress.estimate_ratio());
+        run.is_some_and(|(ratios, ratio)| {
+            SlowRun { ratios, ratio }.is_worth_restart(chance_of_slow, left, again)
+        })
     }
 
     /// Runs on slow upstreams that would end sooner if they were restarted elsewhere.
@@ -180,8 +251,7 @@
             let factor = self.slowness(now, upstream) / median_slowness;
             for (task, open) in ledger.occupancy().runs(upstream) {
                 let progress = self.runs.get(task).filter(|progress| progress.run == open.run);
-                if progress.is_some_and(|progress| is_worth_restart(ledger, task, progress, factor))
-                {
+                if progress.is_some_and(|p| self.is_worth_restart(ledger, task, p, factor)) {
                     let (upstream, task) = (upstream.clone(), task.clone());
                     stragglers.push(RunRef { upstream, task, run: open.run });
                 }
@@ -193,30 +263,35 @@
 
 /// Commands.
 impl SpeedTracker {
-    pub(crate) const fn new(load_grace: Duration) -> Self {
+    pub(crate) fn new(load_grace: Duration) -> Self {
         Self {
             load_grace,
             runs: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             ratios: BTreeMap::new(),
+            run_times: RunTimes::default(),
         }
     }
 
-    /// Records the progress of a run that an upstream listed.
+    /// Records the progress of a run that an upstream listed, beside all others that it listed.
     pub(crate) fn record_listed(
         &mut self,
         now: Time,
         upstream: &UpstreamName,
         clock: ClockReading,
         listed: &ListedRun,
+        all_listed: &[ListedRun],
         expected: ExpectedRun<'_>,
     ) {
         let observed = (listed.percent, clock);
         let fresh = || RunProgress {
             run: listed.run,
             queue: expected.queue.cloned(),
+            stretch_milli: expected.stretch_milli,
+            image: expected.image.cloned(),
             estimate_ms: expected.estimate_ms,
             is_gang: expected.is_gang,
+            chance_of_slow_upstream: None,
             first: observed,
             last: observed,
         };
@@ -234,7 +309,14 @@
             self.upstreams.insert(upstream.clone(), Slowness { factor: STALLED_SLOWNESS, at: now });
             return;
         }
-        self.update_slowness(now, upstream, &listed.task);
+        let chance = self.chance_of_slow_upstream(&listed.task, all_listed);
+        if let Some(progress) = self.runs.get_mut(&listed.task) {
+            progress.chance_of_slow_upstream = chance;
+        }
+        // A task that is probably long by nature says nothing about its upstream.
+        if chance.is_none_or(|chance| chance >= SLOW_CHANCE_MIN) {
+            self.update_slowness(now, upstream, &listed.task);
+        }
     }
 
     /// Records that a run is over.
@@ -343,10 +425,13 @@
     progress: &RunProgress,
     factor: f64,
 ) -> bool {
-    let Some(spec) = ledger.step_spec(&task.step).filter(|spec| !spec.long_running) else {
-        return false;
-    };
+    let work = work_left(ledger, task, progress);
+    work.is_some_and(|(left, again)| left * factor > again * RESTART_GAIN_MIN)
+}
+
+/// The share of a task's work that is left, and the share that a restart has to do; `None` if the task has no end.
+fn work_left(ledger: &WorkflowLedger, task: &TaskId, progress: &RunProgress) -> Option<(f64, f64)> {
+    let spec = ledger.step_spec(&task.step).filter(|spec| !spec.long_running)?;
     let left = f64::from(100 - progress.last.0.min(100)) / 100.0;
-    let again = if spec.checkpointable { left } else { 1.0 };
-    left * factor > again * RESTART_GAIN_MIN
+    Some((left, if spec.checkpointable { left } else { 1.0 }))
 }
--- a/crates/hg_policy/tests/workflow/main.rs
+++ b/crates/hg_policy/tests/workflow/main.rs
@@ -4,5 +4,7 @@
 mod crashes;
 mod extreme_requests;
 mod harness;
+mod replay;
+mod run_times;
 mod starts_and_stops;
 mod upkeep_advice_pace;
