--- a/crates/hg_policy/tests/workflow/run_times.rs
+++ b/crates/hg_policy/tests/workflow/run_times.rs
@@ -290,3 +290,23 @@
     println!("a round with 10,000 waiting steps: {before:?} without, {after:?} with the policy");
     assert!(after < before * 2 + Duration::from_millis(20));
 }
+
+/// Guards against remaining times that end with the estimate: a run that is beyond it, but not beyond what is usual,
+/// cannot end in the 300 ms before its upstream leaves.
+#[test]
+fn run_beyond_its_estimate_is_not_taken_for_done() {
+    let mut replay = learned_double();
+    let harness = &mut replay.harness;
+    let step = StepSpec { estimate_ms: 1_000, ..StepSpec::new(1, ResourceVector::new(1, 1, 1)) };
+    let (spec, at) = (WorkflowSpec::new("work", vec![step]), harness.now);
+    let (id, terms, account) = (job("late"), terms("urgent", 0), None);
+    harness.apply(WorkflowCommand::Accept { id, spec, terms, account, at });
+    let run = run_of(&harness.round(0).starts[0]);
+    harness.now = harness.now.after(Duration::from_millis(1_200));
+    list(harness, &[(run.clone(), 0)]);
+    let leaves_at = harness.now.after(Duration::from_millis(300));
+    harness.fleet.leaving.insert(run.upstream.clone(), leaves_at);
+    let stops = harness.round(0).stops;
+    assert_eq!(stops.len(), 1);
+    assert_eq!((&stops[0].run, stops[0].reason), (&run, StopReason::Evacuated));
+}
