--- a/crates/hg_cli/src/main.rs
+++ b/crates/hg_cli/src/main.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod exit;
 mod explain;
+mod job_chain;
 mod jobs;
 mod keys;
 mod lists;
--- a/crates/hg_control/src/snapshot.rs
+++ b/crates/hg_control/src/snapshot.rs
@@ -13,6 +13,7 @@
     snapshot.extend(encode(ledger.workflows().crashes()));
     snapshot.extend(encode(ledger.workflows().drains()));
     snapshot.extend(encode(ledger.workflows().host_speeds()));
+    snapshot.extend(encode(ledger.workflows().run_times()));
     snapshot
 }
 
@@ -32,6 +33,9 @@
     if let Some(host_speeds) = next_part(&mut rest)? {
         ledger.restore_host_speeds(host_speeds);
     }
+    if let Some(run_times) = next_part(&mut rest)? {
+        ledger.restore_run_times(run_times);
+    }
     Ok(ledger)
 }
 
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hg_ledger::{Command, WorkflowCommand, WorkflowEffect};
-use hg_model::{Term, Time};
+use hg_model::{EndKind, Term, Time};
 use hg_policy::{HostMove, RunStop, WorkflowBounds, WorkflowPolicies, WorkflowScheduler};
 use hg_replica::Disk;
 use slog::{debug, info};
@@ -102,6 +102,7 @@
         self.carry_out_work(now, work);
         self.send_drain_replies(now);
         self.decide_workflows(now);
+        self.replicate_run_times(now);
         self.clean_up_workflows(now);
     }
 
@@ -244,7 +245,10 @@
         let ledger = self.ledger.workflows();
         leadership.changed = true;
         match effect {
-            WorkflowEffect::RunOpened(run) => leadership.sessions.open_run(run),
+            WorkflowEffect::RunOpened(run) => {
+                leadership.sessions.open_run(run);
+                leadership.scheduler.record_run_opened(ledger, run);
+            }
             WorkflowEffect::RunClosed(run) => {
                 leadership.sessions.close_run(run);
                 leadership.broken_gangs.record_run_closed(run);
@@ -281,9 +285,12 @@
         if let WorkflowCommand::Accept { terms, .. } = command {
             telemetry::record_accepted(terms.priority == 0);
         }
-        if let WorkflowCommand::RunsEnded { upstream, incarnation, ends, .. } = command {
+        if let WorkflowCommand::RunsEnded { upstream, incarnation, ends, at } = command {
             for end in ends {
                 telemetry::record_end(end.kind);
+                if end.kind == EndKind::Done {
+                    leadership.scheduler.record_completed(*at, end);
+                }
                 leadership.scheduler.record_end(now, upstream, &end.task.step.job, end.kind);
                 leadership.broken_gangs.record_end(end);
             }
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -7,6 +7,7 @@
 use hg_policy::{Rejection, SpeedClass, StopReason};
 
 use super::drains::{runs_left, shortage};
+use super::run_times::set_run_time_gauges;
 use super::{Order, OrderKind, OrderResult};
 
 pub(super) fn record_accepted(is_urgent: bool) {
@@ -129,4 +130,5 @@
     metrics::gauge!("heathergrade_drains").set(ledger.drains().active().len() as f64);
     metrics::gauge!("heathergrade_drain_runs_left").set(runs_left as f64);
     metrics::gauge!("heathergrade_drain_shortage_accelerators").set(shortage(ledger) as f64);
+    set_run_time_gauges(ledger.run_times());
 }
--- a/crates/hg_ledger/src/ledger.rs
+++ b/crates/hg_ledger/src/ledger.rs
@@ -10,7 +10,8 @@
 
 use crate::{
     Command, Crashes, Drains, ENDED_MAX, ENDED_WITH_NOTES_MAX, Effect, EndedJob, FAILURES_MAX,
-    HostSpeeds, Job, JobEvent, ListConflict, OPERATIONS_MAX, Outcome, REFUSALS_MAX, WorkflowLedger,
+    HostSpeeds, Job, JobEvent, LearnedRunTimes, ListConflict, OPERATIONS_MAX, Outcome,
+    REFUSALS_MAX, WorkflowLedger,
 };
 
 /// The result of applying one command of the log.
@@ -129,6 +130,11 @@
         self.workflows.restore_host_speeds(host_speeds);
     }
 
+    /// Restores the learned run times, which a snapshot keeps apart.
+    pub fn restore_run_times(&mut self, run_times: LearnedRunTimes) {
+        self.workflows.restore_run_times(run_times);
+    }
+
     /// Applies one command of the log. A command that no longer applies changes nothing.
     pub fn apply(&mut self, command: Command) -> Applied {
         match command {
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -7,7 +7,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{ExposedRun, HostSpeed, QueueTerms, UpkeepStage};
+use super::{ExposedRun, HostSpeed, QueueTerms, RunTimeChange, UpkeepStage};
 
 /// A decided start of a run. It is committed to the log before it is ordered at any upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -200,4 +200,11 @@
         /// When they were estimated.
         at: Time,
     },
+    /// Adds completed runs to what is known of run times.
+    RunTimesLearned {
+        /// The runs, by queue and image.
+        changes: Vec<RunTimeChange>,
+        /// When it was decided.
+        at: Time,
+    },
 }
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -10,6 +10,7 @@
 mod occupancy;
 mod record;
 mod run_end;
+mod run_times;
 mod waves;
 
 pub use command::{LostRun, RunStart, SavedProgress, WorkflowCommand};
@@ -23,4 +24,5 @@
     EndedWorkflow, Occurrence, QueueTerms, StepRecord, TaskRecord, TaskState, UnconfirmedEnd,
     Workflow, WorkflowPhase,
 };
+pub use run_times::{LearnedRunTimes, RatioCounts, RunTimeChange, RunTimeKey};
 pub use waves::{UpkeepStage, Wave, Waves};
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -19,6 +19,8 @@
 //! * `speed_tracker` detects upstreams that are slow or stalled (load: workers that slow down).
 //! * `host_speeds`, `speed_groups`, `pool_speeds`, `speed_placement` and `speed_policy` estimate how
 //!   fast hosts are for good, and place work by that (load: hosts of several generations).
+//! * `run_times` learns how long runs take relative to their estimates (load: estimates that are too low by a factor of
+//!   2 to 9, and tasks that are long by nature).
 //! * `crash_guard` and `isolation` decide which tasks are suspected of crashing their upstreams, where
 //!   they start and which are given up (load: a task that crashes each upstream that starts it).
 //! * `pace_controller` slows best-effort work (load: best-effort work that disturbs tasks that
@@ -55,6 +57,7 @@
 mod ready_steps;
 mod reservation;
 mod run_table;
+mod run_times;
 mod scheduler;
 mod speed_groups;
 mod speed_placement;
@@ -70,6 +73,7 @@
 pub use pace_controller::PaceChange;
 pub use policies::{UnknownPolicy, WorkflowPolicies, WorkflowPolicy};
 pub use pool_speeds::SpeedClass;
+pub use run_times::{RunTimeSummary, run_time_summaries};
 pub use scheduler::{RunStop, StopReason, WorkflowDecisions, WorkflowScheduler};
 pub use speed_policy::SpeedChange;
 pub use standby::HostMove;
--- a/crates/hg_policy/tests/workflow/main.rs
+++ b/crates/hg_policy/tests/workflow/main.rs
@@ -5,5 +5,7 @@
 mod drain;
 mod extreme_requests;
 mod harness;
+mod replay;
+mod run_times;
 mod starts_and_stops;
 mod upkeep_advice_pace;
