Fair order among client accounts by weighted dominant share

Cause: neither the order of steps nor preemption takes the account into account, so accounts of unequal demand fare unequally on a full pool.

Change: behind WorkflowPolicy::FairShares and where the guarantees of the catalog differ, steps of equal priority, coverage and outlook are ordered by the share class of their account; preemption counts the work of accounts beyond their fair share at half its cost. Event account.share, gauges heathergrade_account_share and heathergrade_account_waiting, shares in heathergrade explain.

--- a/crates/hg_cli/src/explain.rs
+++ b/crates/hg_cli/src/explain.rs
@@ -15,6 +15,9 @@
 /// Events that show changes of leadership, which explain why nothing was decided for a while.
 const LEADERSHIP_EVENTS: [&str; 2] = ["lead.begin", "lead.end"];
 
+/// How the jobs without an account, which share one fair share, appear in events about shares.
+const COMMON_ACCOUNT: &str = "(none)";
+
 /// Runs `explain`.
 pub(crate) fn run(matches: &ArgMatches) -> eyre::Result<Exit> {
     if matches.get_flag("day") {
@@ -40,8 +43,8 @@
 }
 
 /// The lines that show what happened to a job, ordered by time, without repeated lines about the
-/// job. Adds the changes of leadership between the job's first and last line, and events of the
-/// upstreams on which its runs were lost.
+/// job. Adds the changes of leadership between the job's first and last line, the times at which its
+/// account was beyond its fair share, and events of the upstreams on which its runs were lost.
 fn history(lines: Vec<LogLine>, job: &str) -> Vec<LogLine> {
     let of_job = || lines.iter().filter(|line| line.is_about(job));
     let Some(begin) = of_job().map(|line| line.at).min_by(f64::total_cmp) else {
@@ -51,6 +54,7 @@
     let lost = of_job().filter(|line| line.event == "run.lost");
     let lost: BTreeSet<String> =
         lost.filter_map(|l| l.text("upstream")).map(str::to_owned).collect();
+    let account = of_job().find_map(account_of_accepted).map(str::to_owned);
     let mut seen = BTreeSet::new();
     let mut history: Vec<LogLine> = Vec::new();
     for line in lines {
@@ -58,12 +62,13 @@
         let is_of_lost_upstream = UPSTREAM_EVENTS.contains(&line.event.as_str())
             && line.text("upstream").is_some_and(|upstream| lost.contains(upstream));
         let is_leadership_change = LEADERSHIP_EVENTS.contains(&line.event.as_str());
+        let is_share = line.event == "account.share" && line.text("account") == account.as_deref();
         // A new leader logs events again that an earlier leader has logged.
         let mut is_first_occurrence = || seen.insert((line.event.clone(), line.details()));
         let is_relevant = if line.is_about(job) {
             is_first_occurrence()
         } else {
-            is_in_period && (is_of_lost_upstream || is_leadership_change)
+            is_in_period && (is_of_lost_upstream || is_leadership_change || is_share)
         };
         if is_relevant {
             history.push(line);
@@ -73,6 +78,21 @@
     history
 }
 
+/// The account that a line says the job was accepted for.
+fn account_of_accepted(line: &LogLine) -> Option<&str> {
+    (line.event == "workflow.accepted").then(|| line.text("account").unwrap_or(COMMON_ACCOUNT))
+}
+
+/// A sentence about the share of the job's account if it was beyond twice its fair share; else nothing.
+fn share_summary(history: &[LogLine]) -> String {
+    let share = |line: &LogLine| line.text("share")?.parse::<f64>().ok();
+    let shares = history.iter().filter(|line| line.event == "account.share").filter_map(share);
+    let largest = shares.max_by(f64::total_cmp);
+    largest.map_or_else(String::new, |share| {
+        format!(" Its account had up to {share:.2} times its fair share: work of other accounts went first.")
+    })
+}
+
 /// One sentence about the job's outcome and its cause.
 fn summary(history: &[LogLine]) -> String {
     let last = |event: &str| history.iter().rev().find(|line| line.event == event);
@@ -101,7 +121,10 @@
     let state = state.unwrap_or("not ended in these logs");
     let cause = line.map(|line| format!("{} {}", line.event, line.details()));
     let cause = cause.unwrap_or_else(|| "nothing else".to_owned());
-    format!("State: {state}. Longest time without progress: {waited:.3} s, ended by: {cause}.")
+    let shares = share_summary(history);
+    format!(
+        "State: {state}. Longest time without progress: {waited:.3} s, ended by: {cause}.{shares}"
+    )
 }
 
 /// The longest time between two events that show progress, in seconds, and the event that ended it.
--- a/crates/hg_cli/tests/explain.rs
+++ b/crates/hg_cli/tests/explain.rs
@@ -166,3 +166,26 @@
     assert_eq!(output.status.code(), Some(2));
     Ok(())
 }
+
+/// Guards against a late job whose wait cannot be traced to the share of its account, and against the shares of
+/// other accounts in its history.
+#[test]
+fn explain_shows_the_share_of_the_account_of_the_job() -> eyre::Result<()> {
+    let line = |ts: u32, event: &str, fields: &str| {
+        let ts = format!("2026-05-21T14:43:{ts:02}.0Z");
+        format!(
+            r#"{{"msg":"m","level":"INFO","ts":"{ts}","host":"c1","event":"{event}",{fields}}}"#
+        )
+    };
+    let log = [
+        line(6, "workflow.accepted", r#""job":"j-1","account":"large""#),
+        line(7, "account.share", r#""account":"large","share":"3.25","waiting":80"#),
+        line(8, "account.share", r#""account":"other","share":"9.50","waiting":2"#),
+        line(9, "run.placed", r#""task":"j-1.0.0.0","run":1,"upstream":"u1""#),
+        line(10, "workflow.ended", r#""job":"j-1","state":"completed""#),
+    ];
+    let history = explain_output("j-1", &log.join("\n"))?;
+    assert!(history.contains("share=3.25") && !history.contains("share=9.50"), "{history}");
+    assert!(history.contains("up to 3.25 times its fair share"), "{history}");
+    Ok(())
+}
--- a/crates/hg_control/src/core_loop.rs
+++ b/crates/hg_control/src/core_loop.rs
@@ -13,7 +13,7 @@
 
 use crate::input_queue::InputQueue;
 use crate::links::{Outbox, PeerFrame};
-use crate::workflow::set_gauges;
+use crate::workflow::{ShareGauges, set_gauges};
 use crate::{Actions, Clock, Core, Event, OrderReport, PlatformCallReport, Ticket};
 
 /// The longest time between two steps of the core.
@@ -79,6 +79,7 @@
         pending_replies: BTreeMap::new(),
         next_ticket: 0,
         gauges_set_at: None,
+        share_gauges: ShareGauges::default(),
         needs_membership,
     };
     let handle = CoreHandle { queue: Arc::clone(&queue) };
@@ -103,6 +104,7 @@
     pending_replies: BTreeMap<Ticket, oneshot::Sender<Reply>>,
     next_ticket: u64,
     gauges_set_at: Option<Instant>,
+    share_gauges: ShareGauges,
     needs_membership: Arc<AtomicBool>,
 }
 
@@ -188,6 +190,7 @@
         metrics::gauge!("hg_control_leads").set(f64::from(u8::from(self.core.can_propose(now))));
         let excluded = self.core.excluded_count(now);
         set_gauges(self.core.ledger().workflows(), excluded);
+        self.share_gauges.set(self.core.account_shares());
         metrics::gauge!("hg_control_lists").set(self.core.ledger().version().0 as f64);
         metrics::gauge!("hg_control_waiting").set(self.core.scheduler().waiting_count() as f64);
         metrics::gauge!("hg_control_holdings")
--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 39] = [
+pub const METRICS: [Metric; 41] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -229,6 +229,20 @@
         "calls",
         "Advice requests for where a step may run.",
     ),
+    metric(
+        "heathergrade_account_share",
+        Gauge,
+        "account: the accounts of the catalog, (none)",
+        "fair shares",
+        "The account's weighted dominant share as a multiple of its fair share, where there is a fair order.",
+    ),
+    metric(
+        "heathergrade_account_waiting",
+        Gauge,
+        "account: the accounts of the catalog, (none)",
+        "tasks",
+        "The account's tasks that may start and wait, where there is a fair order.",
+    ),
 ];
 
 /// Describes all metrics to the recorder, with meaning and unit.
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -5,10 +5,13 @@
 
 use hg_ledger::{Command, WorkflowCommand, WorkflowEffect};
 use hg_model::{Term, Time};
-use hg_policy::{HostMove, RunStop, WorkflowBounds, WorkflowPolicies, WorkflowScheduler};
+use hg_policy::{
+    AccountShare, HostMove, RunStop, WorkflowBounds, WorkflowPolicies, WorkflowScheduler,
+};
 use hg_replica::Disk;
 use slog::{debug, info};
 
+use super::account_shares;
 use super::broken_gangs::BrokenGangs;
 use super::platform_calls::PlatformCalls;
 use super::sessions::{Sessions, Work};
@@ -87,6 +90,12 @@
         })
     }
 
+    /// The shares of the client accounts as of the last round; empty unless this replica leads and there is a
+    /// fair order.
+    pub(crate) fn account_shares(&self) -> &[AccountShare] {
+        self.workflow_leadership.as_ref().map_or(&[], |l| l.scheduler.account_shares())
+    }
+
     /// One round: sends due orders and calls, then takes new decisions and cleans up.
     pub(crate) fn advance_workflows(&mut self, now: Time) {
         let Some(leadership) = self.workflow_leadership.as_mut() else { return };
@@ -182,6 +191,7 @@
             telemetry::record_stop(*reason);
             leadership.sessions.stop_run(run);
         }
+        account_shares::log_beyond(&self.log, &decisions.beyond_share);
         self.actions
             .platform_calls
             .extend(leadership.platform_calls.request_advice(now, decisions.advice_request));
@@ -200,6 +210,10 @@
             let command = WorkflowCommand::Start { starts: decisions.starts, at: now };
             self.propose(now, Command::Workflow(command), Purpose::WorkflowDecided);
         }
+        if let Some(usage) = decisions.usage {
+            let command = Command::Workflow(WorkflowCommand::RecordUsage(usage));
+            self.propose(now, command, Purpose::Kept);
+        }
         for command in upkeeps {
             self.propose(now, Command::Workflow(command), Purpose::Kept);
         }
--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -85,7 +85,7 @@
             }
             // These were logged with their reasons when they were decided.
             WorkflowCommand::UpstreamCrashed { .. } | WorkflowCommand::GiveUp { .. } => {}
-            WorkflowCommand::Forget { .. } => {}
+            WorkflowCommand::Forget { .. } | WorkflowCommand::RecordUsage(_) => {}
         }
     }
 }
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -8,6 +8,7 @@
 //! * `Sessions` holds all of them; `dispatch` creates the orders that are due, `reports` applies their
 //!   results.
 
+mod account_shares;
 mod broken_gangs;
 mod crash_evidence;
 mod dispatch;
@@ -31,6 +32,7 @@
     PlatformDriver,
 };
 
+pub(crate) use account_shares::ShareGauges;
 pub(crate) use leadership::WorkflowLeadership;
 pub(crate) use request::WorkflowReplyKind;
 pub(crate) use telemetry::set_gauges;
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -6,7 +6,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{ExposedRun, QueueTerms, UpkeepStage};
+use super::{AccountUsage, ExposedRun, QueueTerms, UpkeepStage};
 
 /// A decided start of a run. It is committed to the log before it is ordered at any upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -177,4 +177,6 @@
         /// When it was decided.
         at: Time,
     },
+    /// Replaces the recent use of resources by account.
+    RecordUsage(AccountUsage),
 }
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -9,9 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Crashes, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun, QueueTerms,
-    RunRef, RunStart, SavedProgress, StepRecord, TaskState, Waves, Workflow, WorkflowCommand,
-    WorkflowEffect, WorkflowPhase,
+    AccountUsage, Crashes, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun,
+    QueueTerms, RunRef, RunStart, SavedProgress, StepRecord, TaskState, Waves, Workflow,
+    WorkflowCommand, WorkflowEffect, WorkflowPhase,
 };
 
 /// Catalog, registered upstreams, workflows, open runs and maintenance waves.
@@ -27,6 +27,9 @@
     /// Kept apart in snapshots, so that those of versions without it can still be read.
     #[serde(skip)]
     pub(super) crashes: Crashes,
+    /// Kept apart in snapshots for the same reason.
+    #[serde(skip)]
+    usage: AccountUsage,
 }
 
 /// Fewer crashes of upstreams under a task never fail its workflow.
@@ -93,6 +96,11 @@
         &self.crashes
     }
 
+    /// The recent use of resources by account.
+    pub const fn usage(&self) -> &AccountUsage {
+        &self.usage
+    }
+
     /// When the oldest retained workflow in its final state ended; `None` if none is retained.
     pub fn oldest_end_time(&self) -> Option<Time> {
         self.ended.get(self.ended_order.front()?).map(|ended| ended.at)
@@ -159,6 +167,7 @@
                     self.end_early(&task.step.job, WorkflowState::Failed, at, &mut effects);
                 }
             }
+            WorkflowCommand::RecordUsage(usage) => self.restore_usage(usage),
         }
         effects
     }
@@ -168,6 +177,12 @@
         self.crashes = crashes;
     }
 
+    /// Replaces the use by account, in a command or from the part of a snapshot that keeps it apart.
+    pub(crate) fn restore_usage(&mut self, usage: AccountUsage) {
+        self.usage = usage;
+        self.usage.retain_accounts(self.catalog.as_ref());
+    }
+
     fn crash_upstream(
         &mut self,
         name: UpstreamName,
@@ -193,6 +208,7 @@
     fn put_catalog(&mut self, catalog: Catalog, effects: &mut Vec<WorkflowEffect>) {
         if self.catalog.as_ref().is_none_or(|current| current.version < catalog.version) {
             self.catalog = Some(catalog);
+            self.usage.retain_accounts(self.catalog.as_ref());
             effects.push(WorkflowEffect::Catalog);
         }
     }
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -1,6 +1,7 @@
 //! The replicated state of workflows: catalog, upstreams, workflows, open runs and maintenance
 //! waves.
 
+mod account_usage;
 mod command;
 mod crash;
 mod effect;
@@ -10,6 +11,7 @@
 mod run_end;
 mod waves;
 
+pub use account_usage::{AccountUsage, ResourceTime};
 pub use command::{LostRun, RunStart, SavedProgress, WorkflowCommand};
 pub use crash::{Crashes, ExposedRun, TaskCrash, UpstreamCrash};
 pub use effect::{RunRef, WorkflowEffect};
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -6,6 +6,8 @@
 //! * `ready_steps` lists the steps that may start and ranks them (load: more work than capacity).
 //! * `guarantee` determines which urgent work is covered (load: one account floods the pool with
 //!   urgent work).
+//! * `fair_share` orders the steps of client accounts, and `usage_tracker` what each account used lately
+//!   (load: accounts of very unequal demand on a full pool).
 //! * `placement` finds upstreams for a step (load: small tasks scattered over racks).
 //! * `headroom` keeps upstreams free for urgent work to come (load: waves of urgent work on a full
 //!   pool).
@@ -35,6 +37,7 @@
 mod capacity_map;
 mod crash_guard;
 mod evacuation;
+mod fair_share;
 mod fleet_observations;
 mod guarantee;
 mod headroom;
@@ -51,6 +54,7 @@
 mod speed_tracker;
 mod standby;
 mod ticket_cache;
+mod usage_tracker;
 mod wave_scheduler;
 
 pub use admission::{Rejection, admit};
@@ -61,4 +65,5 @@
 pub use scheduler::{RunStop, StopReason, WorkflowDecisions, WorkflowScheduler};
 pub use standby::HostMove;
 pub use ticket_cache::{AdviceRequest, TicketCache};
+pub use usage_tracker::AccountShare;
 pub use wave_scheduler::UpkeepOrder;
--- a/crates/hg_policy/src/workflow/preemption.rs
+++ b/crates/hg_policy/src/workflow/preemption.rs
@@ -14,6 +14,7 @@
 
 use super::WorkflowBounds;
 use super::capacity_map::{Candidate, CapacityMap, Position, release};
+use super::fair_share::Shares;
 use super::placement::{Scope, is_below_upstream_limit, running_counts, scopes};
 use super::ready_steps::ReadyStep;
 use super::run_table::{RunRow, RunTable};
@@ -21,6 +22,10 @@
 /// The cost of running outside the best rack, in run times of the step.
 const REMOTE_COST: u64 = 2;
 
+/// Costs up to this factor apart are comparable: the work of an account beyond its fair share is stopped before
+/// other work that costs as little as this part of it.
+const COMPARABLE_COST: u64 = 2;
+
 /// Runs that can only be stopped together, and the cost of stopping them.
 #[derive(Debug)]
 struct Victim {
@@ -46,6 +51,8 @@
     /// The urgent workflows that a guarantee covers.
     pub(crate) covered: &'b BTreeSet<JobId>,
     pub(crate) bounds: &'b WorkflowBounds,
+    /// The shares of the accounts, where there is a fair order.
+    pub(crate) shares: Option<&'b Shares<'a>>,
 }
 
 /// Finds the cheapest set of runs to stop so that all waiting tasks of an urgent step fit.
@@ -80,14 +87,16 @@
 
     /// The work that stopping a run throws away, in thousandths of a core times milliseconds; `None` if
     /// the run may not be stopped because it is long-running. Even if all progress is saved, the task has
-    /// to be restored.
+    /// to be restored. Work of an account beyond its fair share counts as less.
     fn cost(&self, row: &RunRow<'_>) -> Option<u64> {
-        let (_, spec) = row.work.filter(|(_, spec)| !spec.long_running)?;
+        let (job, spec) = row.work.filter(|(_, spec)| !spec.long_running)?;
         let elapsed = self.now.since(row.open.since);
         let progress = if spec.checkpointable { Duration::ZERO } else { elapsed };
         let lost = progress.saturating_add(self.bounds.restore);
         let lost_ms = u64::try_from(lost.as_millis()).unwrap_or(u64::MAX);
-        Some(lost_ms.saturating_mul(spec.per_task.weight()))
+        let cost = lost_ms.saturating_mul(spec.per_task.weight());
+        let is_beyond = |shares: &Shares<'_>| shares.is_beyond(job.account.as_ref());
+        Some(if self.shares.is_some_and(is_beyond) { cost / COMPARABLE_COST } else { cost })
     }
 }
 
--- a/crates/hg_policy/src/workflow/ready_steps.rs
+++ b/crates/hg_policy/src/workflow/ready_steps.rs
@@ -36,9 +36,27 @@
     /// Urgent work beyond its account's guarantee is served after urgent work within a guarantee.
     is_uncovered: bool,
     outlook: Outlook,
+    /// The class of its account's share; 0 for all steps where there is no fair order.
+    pub(crate) share_class: u32,
     deadline: Time,
 }
 
+impl Rank {
+    /// What decides before the account's share does: priority, coverage and outlook.
+    pub(crate) const fn group(&self) -> (u32, bool, Outlook) {
+        (self.priority, self.is_uncovered, self.outlook)
+    }
+
+    pub(crate) const fn outlook(&self) -> Outlook {
+        self.outlook
+    }
+
+    /// The end of its job's latency objective.
+    pub(crate) const fn deadline(&self) -> Time {
+        self.deadline
+    }
+}
+
 /// A step with tasks that may start now.
 #[derive(Debug, Clone)]
 pub(crate) struct ReadyStep<'a> {
@@ -176,5 +194,5 @@
     };
     let priority = job.terms.priority;
     let is_uncovered = priority == 0 && !is_covered;
-    Rank { priority, is_uncovered, outlook, deadline: after(objective_ms) }
+    Rank { priority, is_uncovered, outlook, share_class: 0, deadline: after(objective_ms) }
 }
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use hg_ledger::{RunRef, RunStart, WorkflowLedger};
+use hg_ledger::{AccountUsage, RunRef, RunStart, WorkflowLedger};
 use hg_model::{EndKind, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
 
 use super::capacity_map::CapacityMap;
 use super::crash_guard::CrashGuard;
 use super::evacuation::evacuations;
+use super::fair_share::{Shares, order_fairly};
 use super::guarantee::covered_jobs;
 use super::headroom::Headroom;
 use super::holds::Holds;
@@ -23,10 +24,11 @@
 use super::run_table::RunTable;
 use super::speed_tracker::{ExpectedRun, SpeedTracker};
 use super::standby::StandbyHosts;
+use super::usage_tracker::UsageTracker;
 use super::wave_scheduler::WaveScheduler;
 use super::{
-    AdviceRequest, FleetObservations, HostMove, PaceChange, TicketCache, UpkeepOrder,
-    WorkflowBounds, WorkflowPolicies,
+    AccountShare, AdviceRequest, FleetObservations, HostMove, PaceChange, TicketCache, UpkeepOrder,
+    WorkflowBounds, WorkflowPolicies, WorkflowPolicy,
 };
 use crate::{HealthState, UpstreamHealth};
 
@@ -81,6 +83,10 @@
     pub moves: Vec<HostMove>,
     /// The next request to the service that decides where steps may run.
     pub advice_request: Option<AdviceRequest>,
+    /// The use of resources by account, whenever it is to be recorded.
+    pub usage: Option<AccountUsage>,
+    /// Accounts that are beyond twice their fair share, to be logged.
+    pub beyond_share: Vec<AccountShare>,
 }
 
 /// Decides which tasks start where and which runs are stopped.
@@ -89,7 +95,6 @@
 #[derive(Debug)]
 pub struct WorkflowScheduler {
     bounds: WorkflowBounds,
-    #[allow(dead_code, reason = "each policy reads it as it is wired")]
     policies: WorkflowPolicies,
     holds: Holds,
     /// Runs for which a stop was decided, with the time of that decision.
@@ -101,6 +106,7 @@
     tickets: TicketCache,
     standby: StandbyHosts,
     headroom: Headroom,
+    usage: UsageTracker,
 }
 
 /// Inputs and results of one decision round.
@@ -112,6 +118,8 @@
     drains: DrainTimes<'a>,
     capacity: CapacityMap<'a>,
     guard: CrashGuard<'a>,
+    /// The shares of the accounts, where there is a fair order.
+    shares: Option<Shares<'a>>,
     decisions: WorkflowDecisions,
 }
 
@@ -122,6 +130,11 @@
         matches!(self.health.state(now, upstream), HealthState::Quarantined(_))
     }
 
+    /// The shares of the accounts as of the last round; empty where there is no fair order.
+    pub fn account_shares(&self) -> &[AccountShare] {
+        self.usage.last_shares()
+    }
+
     /// The tickets that allow steps to start.
     pub const fn tickets(&self) -> &TicketCache {
         &self.tickets
@@ -144,6 +157,7 @@
             tickets: TicketCache::default(),
             standby: StandbyHosts::default(),
             headroom: Headroom::default(),
+            usage: UsageTracker::default(),
         }
     }
 
@@ -238,10 +252,13 @@
         let decisions = WorkflowDecisions::default();
         let (runs, drains) = (RunTable::new(ledger), DrainTimes::new(now, ledger));
         let guard = CrashGuard::new(now, ledger, &fleet.silent);
-        let mut round = Round { now, ledger, covered, runs, drains, capacity, guard, decisions };
+        let shares = None;
+        let mut round =
+            Round { now, ledger, covered, runs, drains, capacity, guard, shares, decisions };
         self.decide_stops(&mut round, fleet);
         round.runs.record_stops(self.stopping.iter());
         let mut ready = self.ready(&round);
+        self.order_by_shares(&mut ready, &mut round);
         let suspects = take_suspects(&round.guard, ledger, &mut ready);
         self.holds.drop_expired(now, &ready, &round.capacity);
         self.holds.apply_to(&mut round.capacity);
@@ -274,6 +291,19 @@
         ready
     }
 
+    /// Brings the steps into the fair order among accounts, if that policy is in use and in effect.
+    fn order_by_shares<'a>(&mut self, ready: &mut [ReadyStep<'a>], round: &mut Round<'a>) {
+        if !self.policies.uses(WorkflowPolicy::FairShares) {
+            return;
+        }
+        round.shares = self.usage.observe(round.now, round.ledger, &round.runs, ready);
+        if let Some(shares) = &round.shares {
+            order_fairly(round.now, shares, ready);
+        }
+        round.decisions.usage = self.usage.take_record(round.ledger);
+        round.decisions.beyond_share = self.usage.take_reports();
+    }
+
     fn request_tickets(
         &mut self,
         ready: &[ReadyStep<'_>],
@@ -376,7 +406,8 @@
 
     fn plan_preemption(&self, step: &ReadyStep<'_>, round: &Round<'_>) -> Option<PreemptionPlan> {
         let Round { now, runs, covered, capacity, .. } = round;
-        let cx = PreemptionContext { now: *now, runs, covered, bounds: &self.bounds };
+        let shares = round.shares.as_ref();
+        let cx = PreemptionContext { now: *now, runs, covered, bounds: &self.bounds, shares };
         plan_preemption(&cx, step, capacity)
     }
 }
