Fair shares: use outlives leaders in the simulated deployment, no credit for idling

Cause: the replicated use was tested on the ledger and the scheduler only, and the test of an account that returns did not fail without decay.

Change: a test of the simulated leader with leader changes and crashes; the test of idling compares accounts after decay; the world of the simulation can use policies and has two accounts.

--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -8,13 +8,17 @@
 use std::time::Duration;
 
 use hg_model::{ClockReading, ResourceVector, StepSpec, WorkflowSpec};
-use hg_policy::WorkflowBounds;
+use hg_policy::{WorkflowBounds, WorkflowPolicy};
 use workflow_world::{Faults, World};
 
 /// Number of seeds for each mix of faults; `HG_SEEDS` sets another number.
 const SEEDS: u64 = 60;
 /// Number of seeds for each scale of the time bounds.
 const SCALED_SEEDS: u64 = 20;
+/// Number of seeds for each optional policy.
+const POLICY_SEEDS: u64 = 10;
+/// Number of steps of 10 ms after which a new leader has applied the log.
+const ELECTION_STEPS_MAX: u32 = 1_000;
 /// Number of workflows submitted while faults are injected.
 const JOBS: u32 = 30;
 /// Number of workflows submitted afterwards.
@@ -50,6 +54,11 @@
         world.run(500);
         world.poll_states();
     }
+    settle(world);
+}
+
+/// Lets a world run on without faults, and checks that all workflows end.
+fn settle(mut world: World) {
     world.run(5_000);
     world.stop_faults();
     let last_leases_ms = LAST_LEASES * world.lease_max_ms();
@@ -72,6 +81,32 @@
     assert_eq!(world.wasted(), wasted, "no work is lost without faults");
 }
 
+/// Guards against use of accounts that the leader does not record, that is lost with a leader, or that disturbs the
+/// workflows.
+#[test]
+fn workflows_end_with_fair_shares_whose_use_outlives_leaders() {
+    for seed in 0..POLICY_SEEDS {
+        let faults = Faults { leader_changes: 20, crashes: 20, ..Faults::default() };
+        let policies = [WorkflowPolicy::FairShares].into_iter().collect();
+        let mut world = World::with_policies(seed, faults, policies);
+        for number in 0..JOBS {
+            world.submit(number);
+            world.run(500);
+            world.poll_states();
+        }
+        let usage = world.ledger().workflows().usage().clone();
+        assert!(usage.open.millicore_ms > 0, "seed {seed}: {usage:?}");
+        world.change_leader();
+        for _ in 0..ELECTION_STEPS_MAX {
+            if world.ledger().workflows().usage().is_empty() {
+                world.run(10);
+            }
+        }
+        assert_eq!(*world.ledger().workflows().usage(), usage, "seed {seed}");
+        settle(world);
+    }
+}
+
 #[test]
 fn workflows_end_without_faults() {
     run_seeds(Faults::default());
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -13,10 +13,10 @@
     CallerAction, CallerRequest, Reply, Request, WorkflowReply, WorkflowRequest, encode,
 };
 use hg_model::{
-    Catalog, ClockReading, DataCentreName, EndKind, HeartbeatReadings, HostName, Incarnation,
-    JobId, Label, PoolName, PoolSpec, QueueName, QueueSpec, RackName, ResourceVector, RunNumber,
-    StepId, StepSpec, TaskId, Term, Time, UpstreamName, UpstreamReport, WorkflowSpec,
-    WorkflowState,
+    AccountName, Catalog, ClientAccount, ClockReading, DataCentreName, EndKind, HeartbeatReadings,
+    HostName, Incarnation, JobId, Label, PoolName, PoolSpec, QueueName, QueueSpec, RackName,
+    ResourceVector, RunNumber, StepId, StepSpec, TaskId, Term, Time, UpstreamName, UpstreamReport,
+    WorkflowSpec, WorkflowState,
 };
 use hg_policy::{PolicyConfig, WorkflowBounds, WorkflowPolicies};
 use hg_replica::{Body, Configuration, Index, Message, Peer, ReplicaId, Snapshot, Storage, Timing};
@@ -105,6 +105,7 @@
 pub struct World {
     core: Core<MemoryDisk>,
     bounds: WorkflowBounds,
+    policies: WorkflowPolicies,
     disk: MemoryDisk,
     now: u64,
     rng: ChaCha8Rng,
@@ -160,12 +161,29 @@
 
     /// The same with another number of upstreams.
     pub fn with_fleet(seed: u64, faults: Faults, bounds: WorkflowBounds, upstreams: u32) -> Self {
+        Self::with_all(seed, faults, bounds, upstreams, WorkflowPolicies::default())
+    }
+
+    /// The same with optional policies.
+    #[allow(dead_code, reason = "not every test that plays a world uses policies")]
+    pub fn with_policies(seed: u64, faults: Faults, policies: WorkflowPolicies) -> Self {
+        Self::with_all(seed, faults, WorkflowBounds::default(), UPSTREAMS, policies)
+    }
+
+    fn with_all(
+        seed: u64,
+        faults: Faults,
+        bounds: WorkflowBounds,
+        upstreams: u32,
+        policies: WorkflowPolicies,
+    ) -> Self {
         let disk = MemoryDisk::default();
         let now = 1_000_000;
         let storage = Storage::create(disk.clone(), replica(), founding()).expect("memory");
         let mut world = Self {
-            core: core(storage, bounds, now, seed),
+            core: core(storage, bounds, policies.clone(), now, seed),
             bounds,
+            policies,
             disk,
             now,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -342,7 +360,7 @@
     pub fn change_leader(&mut self) {
         let storage = Storage::open(self.disk.clone()).expect("memory").expect("founded");
         let seed = self.rng.random_range(0..u64::MAX);
-        self.core = core(storage, self.bounds, self.now, seed);
+        self.core = core(storage, self.bounds, self.policies.clone(), self.now, seed);
         trace(self.now, "another leader");
         self.pending_tickets.clear();
         self.in_flight.retain(|_, item| matches!(item, InFlight::Order(..)));
@@ -774,6 +792,7 @@
 fn core(
     storage: Storage<MemoryDisk>,
     bounds: WorkflowBounds,
+    policies: WorkflowPolicies,
     now: u64,
     seed: u64,
 ) -> Core<MemoryDisk> {
@@ -782,7 +801,7 @@
         limits: ControlLimits::default(),
         policy: PolicyConfig::default(),
         workflows: bounds,
-        policies: WorkflowPolicies::default(),
+        policies,
         drain: None,
     };
     Core::new(storage, cfg, logger(), Time(now), seed)
@@ -886,11 +905,17 @@
         standby: false,
         connections_max: 64,
     };
+    // Guarantees that differ enough for a fair order.
+    let account = |name: &str, guaranteed_accelerators: u32| ClientAccount {
+        name: AccountName::new(name).expect("a good name"),
+        keys: Vec::new(),
+        guaranteed_accelerators,
+    };
     Catalog {
         version: if enforces_capacity { 1 } else { 2 },
         queues: vec![queue("/urgent/", 0), queue("/patient/", 1)],
         pools: vec![pool],
-        accounts: Vec::new(),
+        accounts: vec![account("large", 2), account("small", 1)],
         document: Arc::from("{}"),
     }
 }
--- a/crates/hg_policy/tests/workflow/fair_shares.rs
+++ b/crates/hg_policy/tests/workflow/fair_shares.rs
@@ -189,25 +189,37 @@
     assert!(with >= without, "{with} {without}");
 }
 
-/// Guards against an account that collects credit while it idles and then takes the whole pool.
+/// Guards against an account that collects credit while it idles: 100 s of idling do not outweigh 30 s with the whole pool.
 #[test]
 fn decide_gives_no_credit_for_idling() {
+    let mut harness = harness(1, &[("steady", 1), ("returning", 1), ("other", 2)]);
+    for (account, use_rounds) in [("steady", 1_000), ("returning", 300)] {
+        harness.submit_for(account, account, 1, one(8, 600_000));
+        let start = harness.round(100).starts.remove(0);
+        rounds(&mut harness, use_rounds);
+        if account == "returning" {
+            harness.submit_for("returning", "further", 1, one(8, 10_000));
+            harness.submit_for("steady", "of-steady", 1, one(8, 11_000));
+        }
+        harness.end(&run_of(&start), EndKind::Done);
+    }
+    assert_eq!(harness.round(100).starts[0].task.step.job.as_str(), "of-steady");
+}
+
+/// Guards against an account that returns from idling and takes the whole pool, or gets nothing of it.
+#[test]
+fn decide_shares_the_pool_with_an_account_that_returns() {
     let accounts = [demand("steady", 1, 2), demand("returning", 0, 1)];
     let mut replay = Replay::new(4, fair_shares(), &accounts, OVERLOAD, 0);
-    replay.run(60_000);
-    for _ in 0..60 {
-        replay.submit("returning");
-    }
-    let mut most = 0;
+    replay.run(30_000);
     for _ in 0..10 {
-        replay.run(1_000);
         for _ in 0..30 {
             replay.submit("returning");
         }
-        most = most.max(running_accelerators(&replay.harness, "returning"));
+        replay.run(1_000);
     }
-    assert!(most > 4, "the account that returns gets its share: {most} of 48");
-    assert!(running_accelerators(&replay.harness, "steady") > 4, "the other keeps its share");
+    let running = |account| running_accelerators(&replay.harness, account);
+    assert!(running("returning") > 4 && running("steady") > 4, "of 48: {}", running("returning"));
 }
 
 /// Guards against decay by the difference of wall clocks.
