Fair shares: tests that fail without their mechanism

Cause: the replay with guarantees also passed without coverage, and one test of an account that returns did not depend on the policy.

Change: the replay asks for nine tenths of covered work in time with and without the policy; the other test is dropped, since the one of idling fails without decay and covers its case.

--- a/crates/hg_policy/tests/workflow/account_replay.rs
+++ b/crates/hg_policy/tests/workflow/account_replay.rs
@@ -210,20 +210,3 @@
         self.outcomes.values().map(Outcome::share_in_time).fold(1.0, f64::min)
     }
 }
-
-/// Accelerators that a job's runs use now, summed over an account.
-pub fn running_accelerators(harness: &Harness, account: &str) -> u32 {
-    let mut sum = 0;
-    for upstream in harness.ledger.upstreams().keys() {
-        for (task, open) in harness.ledger.occupancy().runs(upstream) {
-            let owner = harness.ledger.job(&job(task.step.job.as_str()));
-            let owner = owner.and_then(|job| job.account.as_ref());
-            sum += if owner.is_some_and(|owner| owner.as_str() == account) {
-                open.claim.accelerators
-            } else {
-                0
-            };
-        }
-    }
-    sum
-}
--- a/crates/hg_policy/tests/workflow/fair_shares.rs
+++ b/crates/hg_policy/tests/workflow/fair_shares.rs
@@ -7,7 +7,7 @@
 use hg_model::{AccountName, Catalog, ClientAccount, EndKind, ResourceVector, StepSpec, Time};
 use hg_policy::{WorkflowBounds, WorkflowPolicies, WorkflowScheduler};
 
-use super::account_replay::{Demand, Replay, fair_shares, running_accelerators};
+use super::account_replay::{Demand, Replay, fair_shares};
 use super::harness::{Harness, run_of};
 
 const fn demand(account: &'static str, parts: u64, guaranteed: u32) -> Demand {
@@ -186,7 +186,8 @@
         replay.outcomes["covered"].share_in_time()
     };
     let (without, with) = (play(WorkflowPolicies::default()), play(fair_shares()));
-    assert!(with >= without, "{with} {without}");
+    eprintln!("covered work in time: {without} without and {with} with the fair order");
+    assert!(with >= without && without > 0.9, "{with} {without}");
 }
 
 /// Guards against an account that collects credit while it idles: 100 s of idling do not outweigh 30 s with the whole pool.
@@ -206,22 +207,6 @@
     assert_eq!(harness.round(100).starts[0].task.step.job.as_str(), "of-steady");
 }
 
-/// Guards against an account that returns from idling and takes the whole pool, or gets nothing of it.
-#[test]
-fn decide_shares_the_pool_with_an_account_that_returns() {
-    let accounts = [demand("steady", 1, 2), demand("returning", 0, 1)];
-    let mut replay = Replay::new(4, fair_shares(), &accounts, OVERLOAD, 0);
-    replay.run(30_000);
-    for _ in 0..10 {
-        for _ in 0..30 {
-            replay.submit("returning");
-        }
-        replay.run(1_000);
-    }
-    let running = |account| running_accelerators(&replay.harness, account);
-    assert!(running("returning") > 4 && running("steady") > 4, "of 48: {}", running("returning"));
-}
-
 /// Guards against decay by the difference of wall clocks.
 #[test]
 fn decide_with_a_clock_that_jumps_keeps_the_use() {
