--- a/crates/hg_control/src/snapshot.rs
+++ b/crates/hg_control/src/snapshot.rs
@@ -14,6 +14,7 @@
     snapshot.extend(encode(ledger.workflows().drains()));
     snapshot.extend(encode(ledger.workflows().host_speeds()));
     snapshot.extend(encode(ledger.workflows().run_times()));
+    snapshot.extend(encode(ledger.workflows().usage()));
     snapshot
 }
 
@@ -36,6 +37,9 @@
     if let Some(run_times) = next_part(&mut rest)? {
         ledger.restore_run_times(run_times);
     }
+    if let Some(usage) = next_part(&mut rest)? {
+        ledger.restore_usage(usage);
+    }
     Ok(ledger)
 }
 
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -5,10 +5,13 @@
 
 use hg_ledger::{Command, WorkflowCommand, WorkflowEffect};
 use hg_model::{EndKind, Term, Time};
-use hg_policy::{HostMove, RunStop, WorkflowBounds, WorkflowPolicies, WorkflowScheduler};
+use hg_policy::{
+    AccountShare, HostMove, RunStop, WorkflowBounds, WorkflowPolicies, WorkflowScheduler,
+};
 use hg_replica::Disk;
 use slog::{debug, info};
 
+use super::account_shares;
 use super::broken_gangs::BrokenGangs;
 use super::drains::DrainWatch;
 use super::platform_calls::PlatformCalls;
@@ -90,6 +93,12 @@
         })
     }
 
+    /// The shares of the client accounts as of the last round; empty unless this replica leads and there is a
+    /// fair order.
+    pub(crate) fn account_shares(&self) -> &[AccountShare] {
+        self.workflow_leadership.as_ref().map_or(&[], |l| l.scheduler.account_shares())
+    }
+
     /// One round: sends due orders and calls, then takes new decisions and cleans up.
     pub(crate) fn advance_workflows(&mut self, now: Time) {
         let Some(leadership) = self.workflow_leadership.as_mut() else { return };
@@ -190,6 +199,7 @@
             telemetry::record_stop(*reason);
             leadership.sessions.stop_run(run);
         }
+        account_shares::log_beyond(&self.log, &decisions.beyond_share);
         self.actions
             .platform_calls
             .extend(leadership.platform_calls.request_advice(now, decisions.advice_request));
@@ -212,6 +222,10 @@
         for command in upkeeps.into_iter().chain(host_speeds) {
             self.propose(now, Command::Workflow(command), Purpose::Kept);
         }
+        if let Some(usage) = decisions.usage {
+            let command = Command::Workflow(WorkflowCommand::RecordUsage(usage));
+            self.propose(now, command, Purpose::Kept);
+        }
     }
 
     /// Handles a proposed decision that was applied, or that never will be.
--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -95,10 +95,10 @@
                 debug!(self.log, "workflow: speeds of hosts recorded"; "event" => "host.speeds",
                     "hosts" => changed.len());
             }
-            WorkflowCommand::Forget { .. } => {}
             // The effect is logged, if there is one.
             WorkflowCommand::StartDrain { .. } | WorkflowCommand::EndDrain { .. } => {}
             WorkflowCommand::RunTimesLearned { changes, .. } => self.log_run_times(changes),
+            WorkflowCommand::Forget { .. } | WorkflowCommand::RecordUsage(_) => {}
         }
     }
 }
--- a/crates/hg_ledger/src/lib.rs
+++ b/crates/hg_ledger/src/lib.rs
@@ -22,9 +22,9 @@
     ENDED_MAX, ENDED_WITH_NOTES_MAX, FAILURES_MAX, NOTES_MAX, OPERATIONS_MAX, REFUSALS_MAX,
 };
 pub use workflow::{
-    Crashes, DRAINS_MAX, Drains, EndedWorkflow, ExposedRun, HostSpeed, HostSpeeds, LearnedRunTimes,
-    LostRun, Occupancy, Occurrence, OpenRun, QueueTerms, RatioCounts, RunRef, RunStart,
-    RunTimeChange, RunTimeKey, SavedProgress, StepRecord, TaskCrash, TaskRecord, TaskState,
-    UnconfirmedEnd, UpkeepStage, UpstreamCrash, Wave, Waves, Workflow, WorkflowCommand,
-    WorkflowEffect, WorkflowLedger, WorkflowPhase,
+    AccountUsage, Crashes, DRAINS_MAX, Drains, EndedWorkflow, ExposedRun, HostSpeed, HostSpeeds,
+    LearnedRunTimes, LostRun, Occupancy, Occurrence, OpenRun, QueueTerms, RatioCounts,
+    ResourceTime, RunRef, RunStart, RunTimeChange, RunTimeKey, SavedProgress, StepRecord,
+    TaskCrash, TaskRecord, TaskState, UnconfirmedEnd, UpkeepStage, UpstreamCrash, Wave, Waves,
+    Workflow, WorkflowCommand, WorkflowEffect, WorkflowLedger, WorkflowPhase,
 };
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -7,7 +7,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{ExposedRun, HostSpeed, QueueTerms, RunTimeChange, UpkeepStage};
+use super::{AccountUsage, ExposedRun, HostSpeed, QueueTerms, RunTimeChange, UpkeepStage};
 
 /// A decided start of a run. It is committed to the log before it is ordered at any upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -207,4 +207,6 @@
         /// When it was decided.
         at: Time,
     },
+    /// Replaces the recent use of resources by account.
+    RecordUsage(AccountUsage),
 }
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -9,9 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Crashes, Drains, EndedWorkflow, ExposedRun, HostSpeeds, LearnedRunTimes, LostRun, Occupancy,
-    Occurrence, OpenRun, QueueTerms, RunRef, RunStart, RunTimeChange, SavedProgress, StepRecord,
-    TaskState, Waves, Workflow, WorkflowCommand, WorkflowEffect, WorkflowPhase,
+    AccountUsage, Crashes, Drains, EndedWorkflow, ExposedRun, HostSpeeds, LearnedRunTimes, LostRun,
+    Occupancy, Occurrence, OpenRun, QueueTerms, RunRef, RunStart, RunTimeChange, SavedProgress,
+    StepRecord, TaskState, Waves, Workflow, WorkflowCommand, WorkflowEffect, WorkflowPhase,
 };
 
 /// Catalog, registered upstreams, workflows, open runs and maintenance waves.
@@ -36,6 +36,9 @@
     /// Kept apart in snapshots like the crashes.
     #[serde(skip)]
     run_times: LearnedRunTimes,
+    /// Kept apart in snapshots for the same reason.
+    #[serde(skip)]
+    usage: AccountUsage,
 }
 
 /// Fewer crashes of upstreams under a task never fail its workflow.
@@ -123,6 +126,11 @@
         &self.run_times
     }
 
+    /// The recent use of resources by account.
+    pub const fn usage(&self) -> &AccountUsage {
+        &self.usage
+    }
+
     /// When the oldest retained workflow in its final state ended; `None` if none is retained.
     pub fn oldest_end_time(&self) -> Option<Time> {
         self.ended.get(self.ended_order.front()?).map(|ended| ended.at)
@@ -203,6 +211,7 @@
                 self.host_speeds.record(changed, at, &self.upstreams);
             }
             WorkflowCommand::RunTimesLearned { changes, at } => self.learn_run_times(changes, at),
+            WorkflowCommand::RecordUsage(usage) => self.restore_usage(usage),
         }
         effects
     }
@@ -236,6 +245,12 @@
         self.run_times.add(changes, at);
     }
 
+    /// Replaces the use by account, in a command or from the part of a snapshot that keeps it apart.
+    pub(crate) fn restore_usage(&mut self, usage: AccountUsage) {
+        self.usage = usage;
+        self.usage.retain_accounts(self.catalog.as_ref());
+    }
+
     fn crash_upstream(
         &mut self,
         name: UpstreamName,
@@ -263,6 +278,7 @@
             let queues = catalog.queues.iter().map(|queue| &queue.name);
             self.run_times.retain_queues(&queues.collect());
             self.catalog = Some(catalog);
+            self.usage.retain_accounts(self.catalog.as_ref());
             effects.push(WorkflowEffect::Catalog);
         }
     }
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -1,6 +1,7 @@
 //! The replicated state of workflows: catalog, upstreams, workflows, open runs and maintenance
 //! waves.
 
+mod account_usage;
 mod command;
 mod crash;
 mod drains;
@@ -13,6 +14,7 @@
 mod run_times;
 mod waves;
 
+pub use account_usage::{AccountUsage, ResourceTime};
 pub use command::{LostRun, RunStart, SavedProgress, WorkflowCommand};
 pub use crash::{Crashes, ExposedRun, TaskCrash, UpstreamCrash};
 pub use drains::{DRAINS_MAX, Drains};
--- a/crates/hg_policy/src/workflow/ready_steps.rs
+++ b/crates/hg_policy/src/workflow/ready_steps.rs
@@ -49,9 +49,27 @@
     /// How doubtful the outlook is, by learned run times; 0 if it is likely, or derives from the estimate. Doubtful
     /// work is served later, since waiting costs it less and its run is more often in vain.
     doubt: u8,
+    /// The class of its account's share; 0 for all steps where there is no fair order.
+    pub(crate) share_class: u32,
     deadline: Time,
 }
 
+impl Rank {
+    /// What decides before the account's share does: priority, coverage and outlook.
+    pub(crate) const fn group(&self) -> (u32, bool, Outlook) {
+        (self.priority, self.is_uncovered, self.outlook)
+    }
+
+    pub(crate) const fn outlook(&self) -> Outlook {
+        self.outlook
+    }
+
+    /// The end of its job's latency objective.
+    pub(crate) const fn deadline(&self) -> Time {
+        self.deadline
+    }
+}
+
 /// A step with tasks that may start now.
 #[derive(Debug, Clone)]
 pub(crate) struct ReadyStep<'a> {
@@ -200,7 +218,7 @@
             (outlook, 0, deadline)
         }
     };
-    Rank { priority, is_uncovered, outlook, doubt, deadline }
+    Rank { priority, is_uncovered, outlook, doubt, share_class: 0, deadline }
 }
 
 /// The outlook and the deadline by the caller's estimates.
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use hg_ledger::{HostSpeed, RunRef, RunStart, RunTimeChange, WorkflowLedger};
+use hg_ledger::{AccountUsage, HostSpeed, RunRef, RunStart, RunTimeChange, WorkflowLedger};
 use hg_model::{EndKind, HostName, JobId, RunEnd, RunListing, StepId, TaskId, Time, UpstreamName};
 
 use super::capacity_map::CapacityMap;
@@ -13,6 +13,7 @@
 use super::crash_guard::CrashGuard;
 use super::drain::{DrainContext, DrainMoves};
 use super::evacuation::evacuations;
+use super::fair_share::{Shares, order_fairly};
 use super::guarantee::covered_jobs;
 use super::headroom::Headroom;
 use super::holds::Holds;
@@ -28,10 +29,11 @@
 use super::speed_policy::{SpeedChange, SpeedPolicy};
 use super::speed_tracker::{ExpectedRun, SpeedTracker};
 use super::standby::StandbyHosts;
+use super::usage_tracker::UsageTracker;
 use super::wave_scheduler::WaveScheduler;
 use super::{
-    AdviceRequest, FleetObservations, HostMove, PaceChange, SpeedClass, TicketCache, UpkeepOrder,
-    WorkflowBounds, WorkflowPolicies, WorkflowPolicy,
+    AccountShare, AdviceRequest, FleetObservations, HostMove, PaceChange, SpeedClass, TicketCache,
+    UpkeepOrder, WorkflowBounds, WorkflowPolicies, WorkflowPolicy,
 };
 use crate::{HealthState, UpstreamHealth};
 
@@ -92,6 +94,10 @@
     pub moves: Vec<HostMove>,
     /// The next request to the service that decides where steps may run.
     pub advice_request: Option<AdviceRequest>,
+    /// The use of resources by account, whenever it is to be recorded.
+    pub usage: Option<AccountUsage>,
+    /// Accounts that are beyond twice their fair share, to be logged.
+    pub beyond_share: Vec<AccountShare>,
 }
 
 /// Decides which tasks start where and which runs are stopped.
@@ -114,6 +120,7 @@
     headroom: Headroom,
     drain_moves: DrainMoves,
     cold_starts: ColdStarts,
+    usage: UsageTracker,
 }
 
 /// Inputs and results of one decision round.
@@ -125,6 +132,8 @@
     drains: DrainTimes<'a>,
     capacity: CapacityMap<'a>,
     guard: CrashGuard<'a>,
+    /// The shares of the accounts, where there is a fair order.
+    shares: Option<Shares<'a>>,
     decisions: WorkflowDecisions,
 }
 
@@ -135,6 +144,11 @@
         matches!(self.health.state(now, upstream), HealthState::Quarantined(_))
     }
 
+    /// The shares of the accounts as of the last round; empty where there is no fair order.
+    pub fn account_shares(&self) -> &[AccountShare] {
+        self.usage.last_shares()
+    }
+
     /// The tickets that allow steps to start.
     pub const fn tickets(&self) -> &TicketCache {
         &self.tickets
@@ -185,6 +199,7 @@
             headroom: Headroom::default(),
             drain_moves: DrainMoves::default(),
             cold_starts: ColdStarts::default(),
+            usage: UsageTracker::default(),
         }
     }
 
@@ -339,10 +354,13 @@
         let decisions = WorkflowDecisions::default();
         let (runs, drains) = (RunTable::new(ledger), DrainTimes::new(now, ledger));
         let guard = CrashGuard::new(now, ledger, &fleet.silent);
-        let mut round = Round { now, ledger, covered, runs, drains, capacity, guard, decisions };
+        let shares = None;
+        let mut round =
+            Round { now, ledger, covered, runs, drains, capacity, guard, shares, decisions };
         self.decide_stops(&mut round, fleet);
         round.runs.record_stops(self.stopping.iter());
         let mut ready = self.ready(&round);
+        self.order_by_shares(&mut ready, &mut round);
         let suspects = take_suspects(&round.guard, ledger, &mut ready);
         self.holds.drop_expired(now, &ready, &round.capacity);
         self.holds.apply_to(&mut round.capacity);
@@ -378,6 +396,19 @@
         ready
     }
 
+    /// Brings the steps into the fair order among accounts, if that policy is in use and in effect.
+    fn order_by_shares<'a>(&mut self, ready: &mut [ReadyStep<'a>], round: &mut Round<'a>) {
+        if !self.policies.uses(WorkflowPolicy::FairShares) {
+            return;
+        }
+        round.shares = self.usage.observe(round.now, round.ledger, &round.runs, ready);
+        if let Some(shares) = &round.shares {
+            order_fairly(round.now, shares, ready);
+        }
+        round.decisions.usage = self.usage.take_record(round.ledger);
+        round.decisions.beyond_share = self.usage.take_reports();
+    }
+
     fn request_tickets(
         &mut self,
         ready: &[ReadyStep<'_>],
@@ -527,7 +558,8 @@
     ) -> Option<PreemptionPlan> {
         let Round { now, runs, covered, capacity, .. } = round;
         let (now, bounds) = (*now, &self.bounds);
-        let cx = PreemptionContext { now, runs, covered, bounds, tiers, timely_within };
+        let shares = round.shares.as_ref();
+        let cx = PreemptionContext { now, runs, covered, bounds, tiers, timely_within, shares };
         plan_preemption(&cx, step, capacity)
     }
 }
--- a/crates/hg_policy/tests/workflow/main.rs
+++ b/crates/hg_policy/tests/workflow/main.rs
@@ -1,9 +1,11 @@
 //! Decisions about workflows; each test replays one load pattern.
 
+mod account_replay;
 mod capacity_changes;
 mod crashes;
 mod drain;
 mod extreme_requests;
+mod fair_shares;
 mod harness;
 mod replay;
 mod run_times;
