Contention between tasks on one host: found from runs, avoided in placement

Cause: tasks that compete for what no claim covers slow each other down on one host, and nothing noticed it.

Change: behind the policy `contention`, the leader compares the speed of a run beside a class of tasks with the speed of the same run without it, at arrivals and at departures. Slow-downs that pass a test with Bonferroni's correction are avoided in placement: first where the pool has idle upstreams and no urgent work or gang waits, otherwise only among equal choices. Log lines contention.found, contention.released and contention.avoided, two metrics, a sentence in `heathergrade explain`.

--- a/crates/hg_cli/src/explain.rs
+++ b/crates/hg_cli/src/explain.rs
@@ -101,7 +101,26 @@
     let state = state.unwrap_or("not ended in these logs");
     let cause = line.map(|line| format!("{} {}", line.event, line.details()));
     let cause = cause.unwrap_or_else(|| "nothing else".to_owned());
-    format!("State: {state}. Longest time without progress: {waited:.3} s, ended by: {cause}.")
+    let contention = contention_avoided(history);
+    format!(
+        "State: {state}. Longest time without progress: {waited:.3} s, ended by: {cause}.{contention}"
+    )
+}
+
+/// One sentence about starts for which contention with other tasks was avoided, if there were any.
+fn contention_avoided(history: &[LogLine]) -> String {
+    let avoided = history.iter().filter(|line| line.event == "contention.avoided");
+    let avoided: Vec<&LogLine> = avoided.collect();
+    let Some(last) = avoided.last() else { return String::new() };
+    let text = |name: &str| last.text(name).unwrap_or("unknown");
+    format!(
+        " Kept apart from tasks that slow each other down in {} starts, last from {}: {} slows {} by {}.",
+        avoided.len(),
+        text("instead_of"),
+        text("aggressor"),
+        text("victim"),
+        text("factor"),
+    )
 }
 
 /// The longest time between two events that show progress, in seconds, and the event that ended it.
--- a/crates/hg_cli/tests/explain.rs
+++ b/crates/hg_cli/tests/explain.rs
@@ -166,3 +166,25 @@
     assert_eq!(output.status.code(), Some(2));
     Ok(())
 }
+
+/// Guards against a start on another upstream than best fit's that nothing explains.
+#[test]
+fn explain_names_contention_that_was_avoided() -> eyre::Result<()> {
+    let line = |second: u32, event: &str, more: &str| {
+        format!(r#"{{"ts":"2026-05-21T14:43:{second:02}.0Z","host":"c","event":"{event}",{more}}}"#)
+    };
+    let log = [
+        line(1, "workflow.accepted", r#""job":"j7""#),
+        line(
+            2,
+            "contention.avoided",
+            r#""task":"j7.0.0.0","upstream":"u2","instead_of":"u1","aggressor":"image a","victim":"image b","factor":"1.82""#,
+        ),
+        line(2, "run.placed", r#""task":"j7.0.0.0","upstream":"u2","run":1"#),
+        line(3, "workflow.ended", r#""job":"j7","state":"completed""#),
+    ];
+    let history = explain_output("j7", &log.join("\n"))?;
+    let summary = history.lines().last().unwrap_or_default();
+    assert!(summary.contains("1 starts, last from u1: image a slows image b by 1.82"), "{summary}");
+    Ok(())
+}
--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 39] = [
+pub const METRICS: [Metric; 41] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -229,6 +229,20 @@
         "calls",
         "Advice requests for where a step may run.",
     ),
+    metric(
+        "heathergrade_contention_pairs",
+        Gauge,
+        "",
+        "pairs",
+        "Pairs of classes of tasks that placement keeps apart because one slows the other down.",
+    ),
+    metric(
+        "heathergrade_contention_avoided_total",
+        Counter,
+        "",
+        "runs",
+        "Starts on another upstream than best fit's because of tasks that run there.",
+    ),
 ];
 
 /// Describes all metrics to the recorder, with meaning and unit.
--- a/crates/hg_control/src/snapshot.rs
+++ b/crates/hg_control/src/snapshot.rs
@@ -10,6 +10,7 @@
 pub fn encode_ledger(ledger: &Ledger) -> Vec<u8> {
     let mut snapshot = encode(ledger);
     snapshot.extend(encode(ledger.workflows().crashes()));
+    snapshot.extend(encode(ledger.workflows().contention()));
     snapshot
 }
 
@@ -20,8 +21,13 @@
 /// [`LinkCause`] if the snapshot is malformed or of an unknown version.
 pub fn decode_ledger(snapshot: &[u8]) -> Result<Ledger, LinkCause> {
     let (mut ledger, rest): (Ledger, _) = decode_prefix(snapshot)?;
+    if rest.is_empty() {
+        return Ok(ledger);
+    }
+    let (crashes, rest) = decode_prefix(rest)?;
+    ledger.restore_crashes(crashes);
     if !rest.is_empty() {
-        ledger.restore_crashes(decode(rest)?);
+        ledger.restore_contention(decode(rest)?);
     }
     Ok(ledger)
 }
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -194,6 +194,7 @@
         for task in decisions.given_up {
             self.give_up_task(now, task);
         }
+        self.report_contention(now, decisions.contention);
         let Some(leadership) = self.workflow_leadership.as_mut() else { return };
         if !decisions.starts.is_empty() {
             leadership.await_decision();
--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -84,7 +84,9 @@
                     "incarnation" => incarnation.0, "runs" => runs.len());
             }
             // These were logged with their reasons when they were decided.
-            WorkflowCommand::UpstreamCrashed { .. } | WorkflowCommand::GiveUp { .. } => {}
+            WorkflowCommand::UpstreamCrashed { .. }
+            | WorkflowCommand::GiveUp { .. }
+            | WorkflowCommand::RecordContention { .. } => {}
             WorkflowCommand::Forget { .. } => {}
         }
     }
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -9,6 +9,7 @@
 //!   results.
 
 mod broken_gangs;
+mod contention;
 mod crash_evidence;
 mod dispatch;
 mod leadership;
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -101,6 +101,11 @@
     metrics::counter!("hg_workflow_advice", "result" => result).increment(1);
 }
 
+pub(super) fn record_contention_avoided(count: usize) {
+    let count = u64::try_from(count).unwrap_or(u64::MAX);
+    metrics::counter!("heathergrade_contention_avoided_total").increment(count);
+}
+
 /// Sets the gauges that depend on the replicated state. `excluded` counts the upstreams that get no new work.
 pub(crate) fn set_gauges(ledger: &WorkflowLedger, excluded: usize) {
     let version = ledger.catalog().map_or(0, |catalog| catalog.version);
@@ -112,5 +117,7 @@
     let accelerators = ledger.upstreams().values().map(|u| f64::from(u.capacity.accelerators));
     metrics::gauge!("hg_workflow_accelerators").set(accelerators.sum::<f64>());
     metrics::gauge!("hg_workflow_suspects").set(ledger.crashes().tasks().len() as f64);
+    let found = ledger.contention().found_count();
+    metrics::gauge!("heathergrade_contention_pairs").set(found as f64);
     metrics::gauge!("hg_workflow_shunned").set(excluded as f64);
 }
--- a/crates/hg_control/tests/snapshot.rs
+++ b/crates/hg_control/tests/snapshot.rs
@@ -95,6 +95,37 @@
     assert!(decode_ledger(&snapshot[..snapshot.len() - 1]).is_err());
 }
 
+fn with_contention(mut ledger: Ledger) -> Ledger {
+    let class = |name| hg_model::TaskClass::Image(hg_model::ImageName::new(name).expect("valid"));
+    let pair = hg_ledger::ContentionPair { aggressor: class("a"), victim: class("b") };
+    let evidence = hg_ledger::PairEvidence { is_found: true, ..Default::default() };
+    let (dropped, changed) = (Vec::new(), vec![(pair, evidence)]);
+    ledger.apply(Command::Workflow(WorkflowCommand::RecordContention { dropped, changed }));
+    ledger
+}
+
+#[test]
+fn decode_ledger_keeps_contention() {
+    let ledger = with_contention(ledger(true));
+    assert_eq!(ledger.workflows().contention().found_count(), 1);
+    assert_eq!(decode_ledger(&encode_ledger(&ledger)).expect("readable"), ledger);
+}
+
+/// Guards against an upgrade that cannot read what the earlier version wrote.
+#[test]
+fn decode_ledger_reads_a_snapshot_without_contention() {
+    let ledger = ledger(true);
+    let mut earlier = encode(&ledger);
+    earlier.extend(encode(ledger.workflows().crashes()));
+    assert_eq!(decode_ledger(&earlier).expect("readable"), ledger);
+}
+
+#[test]
+fn decode_ledger_refuses_contention_that_is_cut_short() {
+    let snapshot = encode_ledger(&with_contention(ledger(true)));
+    assert!(decode_ledger(&snapshot[..snapshot.len() - 1]).is_err());
+}
+
 /// Commands are encoded by their position in the enum, so new ones come last.
 #[test]
 fn encode_keeps_the_position_of_commands() {
--- a/crates/hg_ledger/src/ledger.rs
+++ b/crates/hg_ledger/src/ledger.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Command, Crashes, ENDED_MAX, ENDED_WITH_NOTES_MAX, Effect, EndedJob, FAILURES_MAX, Job,
-    JobEvent, ListConflict, OPERATIONS_MAX, Outcome, REFUSALS_MAX, WorkflowLedger,
+    Command, Contention, Crashes, ENDED_MAX, ENDED_WITH_NOTES_MAX, Effect, EndedJob, FAILURES_MAX,
+    Job, JobEvent, ListConflict, OPERATIONS_MAX, Outcome, REFUSALS_MAX, WorkflowLedger,
 };
 
 /// The result of applying one command of the log.
@@ -119,6 +119,11 @@
         self.workflows.restore_crashes(crashes);
     }
 
+    /// Restores the learned contention, which a snapshot keeps apart.
+    pub fn restore_contention(&mut self, contention: Contention) {
+        self.workflows.restore_contention(contention);
+    }
+
     /// Applies one command of the log. A command that no longer applies changes nothing.
     pub fn apply(&mut self, command: Command) -> Applied {
         match command {
--- a/crates/hg_ledger/src/lib.rs
+++ b/crates/hg_ledger/src/lib.rs
@@ -22,8 +22,9 @@
     ENDED_MAX, ENDED_WITH_NOTES_MAX, FAILURES_MAX, NOTES_MAX, OPERATIONS_MAX, REFUSALS_MAX,
 };
 pub use workflow::{
-    Crashes, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun, QueueTerms,
-    RunRef, RunStart, SavedProgress, StepRecord, TaskCrash, TaskRecord, TaskState, UnconfirmedEnd,
-    UpkeepStage, UpstreamCrash, Wave, Waves, Workflow, WorkflowCommand, WorkflowEffect,
-    WorkflowLedger, WorkflowPhase,
+    CONTENTION_CLASSES_MAX, CONTENTION_PAIRS_MAX, Contention, ContentionPair, Crashes,
+    DirectionEvidence, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun,
+    PairEvidence, QueueTerms, RunRef, RunStart, SavedProgress, StepRecord, TaskCrash, TaskRecord,
+    TaskState, UnconfirmedEnd, UpkeepStage, UpstreamCrash, Wave, Waves, Workflow, WorkflowCommand,
+    WorkflowEffect, WorkflowLedger, WorkflowPhase,
 };
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -6,7 +6,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{ExposedRun, QueueTerms, UpkeepStage};
+use super::{ContentionPair, ExposedRun, PairEvidence, QueueTerms, UpkeepStage};
 
 /// A decided start of a run. It is committed to the log before it is ordered at any upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -177,4 +177,11 @@
         /// When it was decided.
         at: Time,
     },
+    /// Records learned contention between classes of tasks.
+    RecordContention {
+        /// Pairs without evidence from now on; they are removed first.
+        dropped: Vec<ContentionPair>,
+        /// Pairs with their evidence from now on.
+        changed: Vec<(ContentionPair, PairEvidence)>,
+    },
 }
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -9,9 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Crashes, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun, QueueTerms,
-    RunRef, RunStart, SavedProgress, StepRecord, TaskState, Waves, Workflow, WorkflowCommand,
-    WorkflowEffect, WorkflowPhase,
+    Contention, Crashes, EndedWorkflow, ExposedRun, LostRun, Occupancy, Occurrence, OpenRun,
+    QueueTerms, RunRef, RunStart, SavedProgress, StepRecord, TaskState, Waves, Workflow,
+    WorkflowCommand, WorkflowEffect, WorkflowPhase,
 };
 
 /// Catalog, registered upstreams, workflows, open runs and maintenance waves.
@@ -27,6 +27,9 @@
     /// Kept apart in snapshots, so that those of versions without it can still be read.
     #[serde(skip)]
     pub(super) crashes: Crashes,
+    /// Kept apart in snapshots as well.
+    #[serde(skip)]
+    contention: Contention,
 }
 
 /// Fewer crashes of upstreams under a task never fail its workflow.
@@ -93,6 +96,11 @@
         &self.crashes
     }
 
+    /// The learned contention between classes of tasks.
+    pub const fn contention(&self) -> &Contention {
+        &self.contention
+    }
+
     /// When the oldest retained workflow in its final state ended; `None` if none is retained.
     pub fn oldest_end_time(&self) -> Option<Time> {
         self.ended.get(self.ended_order.front()?).map(|ended| ended.at)
@@ -159,6 +167,9 @@
                     self.end_early(&task.step.job, WorkflowState::Failed, at, &mut effects);
                 }
             }
+            WorkflowCommand::RecordContention { dropped, changed } => {
+                self.contention.record(&dropped, changed);
+            }
         }
         effects
     }
@@ -168,6 +179,11 @@
         self.crashes = crashes;
     }
 
+    /// Restores the learned contention that a snapshot keeps apart.
+    pub(crate) fn restore_contention(&mut self, contention: Contention) {
+        self.contention = contention;
+    }
+
     fn crash_upstream(
         &mut self,
         name: UpstreamName,
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -2,6 +2,7 @@
 //! waves.
 
 mod command;
+mod contention;
 mod crash;
 mod effect;
 mod ledger;
@@ -11,6 +12,10 @@
 mod waves;
 
 pub use command::{LostRun, RunStart, SavedProgress, WorkflowCommand};
+pub use contention::{
+    CONTENTION_CLASSES_MAX, CONTENTION_PAIRS_MAX, Contention, ContentionPair, DirectionEvidence,
+    PairEvidence,
+};
 pub use crash::{Crashes, ExposedRun, TaskCrash, UpstreamCrash};
 pub use effect::{RunRef, WorkflowEffect};
 pub use ledger::WorkflowLedger;
--- a/crates/hg_model/src/lib.rs
+++ b/crates/hg_model/src/lib.rs
@@ -47,6 +47,6 @@
     AdviceTiming, Catalog, CatalogFault, Checkpoint, ClientAccount, ClockReading, EndKind,
     HeartbeatReadings, HostReport, HostState, Incarnation, LatencyTarget, ListedRun, PoolSpec,
     QueueSpec, ResourceVector, Route, RunEnd, RunListing, RunNumber, Schedule, StepId, StepSpec,
-    TaskId, TaskIdError, UpstreamReport, WaveFault, WaveNumber, WaveSpec, WaveState, WorkflowFault,
-    WorkflowSpec, WorkflowState,
+    TaskClass, TaskId, TaskIdError, UpstreamReport, WaveFault, WaveNumber, WaveSpec, WaveState,
+    WorkflowFault, WorkflowSpec, WorkflowState,
 };
--- a/crates/hg_model/src/workflow/mod.rs
+++ b/crates/hg_model/src/workflow/mod.rs
@@ -15,6 +15,7 @@
 mod state;
 mod step;
 mod task;
+mod task_class;
 mod wave;
 
 pub use catalog::{Catalog, CatalogFault, ClientAccount, PoolSpec, Route};
@@ -25,4 +26,5 @@
 pub use state::WorkflowState;
 pub use step::{LatencyTarget, Schedule, StepSpec, WorkflowFault, WorkflowSpec};
 pub use task::{Checkpoint, Incarnation, RunNumber, StepId, TaskId, TaskIdError};
+pub use task_class::TaskClass;
 pub use wave::{HostReport, HostState, WaveFault, WaveNumber, WaveSpec, WaveState};
--- a/crates/hg_policy/src/workflow/capacity_map.rs
+++ b/crates/hg_policy/src/workflow/capacity_map.rs
@@ -7,6 +7,8 @@
 use hg_model::{PoolName, RackName, ResourceVector, StepSpec, UpstreamName, UpstreamReport};
 
 use super::FleetObservations;
+use super::contention::HostMixes;
+use super::ready_steps::ReadyStep;
 use super::reservation::Reservation;
 
 /// An upstream that may get new work in a round.
@@ -64,6 +66,8 @@
     candidates: Vec<Candidate<'a>>,
     positions: BTreeMap<&'a UpstreamName, Position>,
     racks: Vec<(&'a RackName, Range<Position>)>,
+    /// Set once contention was found.
+    mixes: Option<HostMixes>,
 }
 
 /// Queries.
@@ -85,7 +89,22 @@
         let names = candidates.iter().enumerate();
         let positions = names.map(|(position, c)| (&c.report.name, position)).collect();
         let racks = rack_ranges(&candidates);
-        Self { candidates, positions, racks }
+        Self { candidates, positions, racks, mixes: None }
+    }
+
+    /// The number of positions.
+    pub(crate) const fn len(&self) -> usize {
+        self.candidates.len()
+    }
+
+    /// The position of an upstream.
+    pub(crate) fn position(&self, name: &UpstreamName) -> Option<Position> {
+        self.positions.get(name).copied()
+    }
+
+    /// The classes of tasks on each upstream, where placement of a step depends on them.
+    pub(crate) fn mixes_for(&self, step: &ReadyStep<'_>) -> Option<&HostMixes> {
+        self.mixes.as_ref().filter(|mixes| mixes.concerns(step))
     }
 
     /// The candidate at a position that this map has named.
@@ -176,6 +195,27 @@
         }
     }
 
+    /// Sets the classes of tasks on each upstream.
+    pub(crate) fn set_mixes(&mut self, mixes: Option<HostMixes>) {
+        self.mixes = mixes;
+    }
+
+    /// Records a task that is about to start.
+    pub(crate) fn record_start(&mut self, upstream: &UpstreamName, step: &ReadyStep<'_>) {
+        if let Some(position) = self.position(upstream)
+            && let Some(mixes) = &mut self.mixes
+        {
+            mixes.add(position, step.spec, &step.job.terms.queue);
+        }
+    }
+
+    /// Records that some tasks of a step could not be placed.
+    pub(crate) fn record_unplaced(&mut self, step: &ReadyStep<'_>) {
+        if let Some(mixes) = &mut self.mixes {
+            mixes.record_unplaced(&step.job.terms.pool);
+        }
+    }
+
     pub(crate) fn hold(&mut self, upstream: &UpstreamName, claim: &ResourceVector) {
         if let Some(candidate) = self.get_mut(upstream) {
             candidate.held = candidate.held.plus(claim);
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -21,6 +21,8 @@
 //!   serve users).
 //! * `ticket_cache` holds the tickets of the service that decides where steps may run, and chooses
 //!   the next request to it (load: a service that decides slowly).
+//! * `contention` keeps tasks apart that slow each other down on one host (load: tasks that compete for
+//!   resources that no claim covers).
 //! * `wave_scheduler` and `availability` take hosts down for upkeep (load: maintenance of a busy
 //!   pool).
 //! * `standby` borrows hosts and returns them (load: more work than a pool can hold, for a while).
@@ -33,6 +35,7 @@
 mod availability;
 mod bounds;
 mod capacity_map;
+mod contention;
 mod crash_guard;
 mod evacuation;
 mod fleet_observations;
@@ -55,6 +58,7 @@
 
 pub use admission::{Rejection, admit};
 pub use bounds::{BoundError, WorkflowBounds};
+pub use contention::{ContentionAvoided, ContentionFinding, ContentionReport};
 pub use fleet_observations::FleetObservations;
 pub use pace_controller::PaceChange;
 pub use policies::{UnknownPolicy, WorkflowPolicies, WorkflowPolicy};
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -10,6 +10,7 @@
 use hg_model::{ResourceVector, Time, UpstreamName};
 
 use super::capacity_map::{Candidate, CapacityMap, Position};
+use super::contention::HostMixes;
 use super::ready_steps::ReadyStep;
 use super::reservation::Reservation;
 
@@ -35,6 +36,30 @@
     now: Time,
     step: &ReadyStep<'_>,
     capacity: &CapacityMap<'_>,
+) -> BTreeMap<u32, UpstreamName> {
+    place_by(least_slowed, now, step, capacity)
+}
+
+/// The same without regard to contention.
+pub(crate) fn place_packed(
+    now: Time,
+    step: &ReadyStep<'_>,
+    capacity: &CapacityMap<'_>,
+) -> BTreeMap<u32, UpstreamName> {
+    place_by(packed, now, step, capacity)
+}
+
+fn place_by(
+    fit: impl Fn(
+        Time,
+        &ReadyStep<'_>,
+        &[Position],
+        &CapacityMap<'_>,
+        bool,
+    ) -> BTreeMap<u32, UpstreamName>,
+    now: Time,
+    step: &ReadyStep<'_>,
+    capacity: &CapacityMap<'_>,
 ) -> BTreeMap<u32, UpstreamName> {
     let scopes = scopes(now, step, capacity);
     let mut best = BTreeMap::new();
@@ -43,7 +68,7 @@
     for is_local in [true, false] {
         for with_slower in passes.iter().copied() {
             for scope in scopes.iter().filter(|scope| scope.is_local == is_local) {
-                let placed = best_fit(now, step, &scope.members, capacity, with_slower);
+                let placed = fit(now, step, &scope.members, capacity, with_slower);
                 if placed.len() == step.waiting.len() {
                     return placed;
                 }
@@ -118,6 +143,9 @@
 struct Slot<'a, 'b> {
     candidate: &'b Candidate<'a>,
     available: ResourceVector,
+    /// The expected slow-down there; it is compared before best fit, or only among equal choices.
+    slow_down: u32,
+    is_slow_down_first: bool,
 }
 
 impl Slot<'_, '_> {
@@ -129,8 +157,10 @@
     }
 
     /// Orders upstreams by what is left there; the fullest comes first.
-    const fn fill_order(&self) -> (u32, u32) {
-        (self.available.accelerators, self.available.millicores)
+    const fn fill_order(&self) -> (u32, u32, u32, u32) {
+        let (first, last) =
+            if self.is_slow_down_first { (self.slow_down, 0) } else { (0, self.slow_down) };
+        (first, self.available.accelerators, self.available.millicores, last)
     }
 }
 
@@ -167,6 +197,21 @@
         }
     }
 
+    /// Places one task on each upstream in turn, for tasks that slow each other down.
+    fn fill_in_turn(&mut self, mut slots: Vec<Slot<'_, '_>>) {
+        let mut tasks = self.step.waiting.iter().copied().peekable();
+        slots.sort_by_key(Slot::fill_order);
+        while tasks.peek().is_some() {
+            slots.retain(|slot| slot.can_take(self));
+            if slots.is_empty() {
+                return;
+            }
+            for (slot, task) in slots.iter_mut().zip(&mut tasks) {
+                self.place(task, slot);
+            }
+        }
+    }
+
     /// Finds an upstream for each task by itself, since tasks that failed somewhere avoid that upstream.
     fn fill_each(&mut self, mut slots: Vec<Slot<'_, '_>>) {
         for task in &self.step.waiting {
@@ -181,24 +226,59 @@
     }
 }
 
+fn packed(
+    now: Time,
+    step: &ReadyStep<'_>,
+    scope: &[Position],
+    capacity: &CapacityMap<'_>,
+    with_slower: bool,
+) -> BTreeMap<u32, UpstreamName> {
+    best_fit(now, step, scope, capacity, with_slower, None)
+}
+
+/// Places as many waiting tasks as best fit does. Where contention was found and there is room, each goes
+/// to the upstream with the least expected slow-down, otherwise that decides among equal choices.
+fn least_slowed(
+    now: Time,
+    step: &ReadyStep<'_>,
+    scope: &[Position],
+    capacity: &CapacityMap<'_>,
+    with_slower: bool,
+) -> BTreeMap<u32, UpstreamName> {
+    let packed = packed(now, step, scope, capacity, with_slower);
+    let Some(mixes) = capacity.mixes_for(step).filter(|_| !packed.is_empty()) else {
+        return packed;
+    };
+    let spread = best_fit(now, step, scope, capacity, with_slower, Some(mixes));
+    if spread.len() < packed.len() { packed } else { spread }
+}
+
 /// Places as many waiting tasks as possible within a scope, each on the upstream where it leaves
-/// the least capacity free. An upstream on which the task failed before is the last choice.
+/// the least capacity free. An upstream on which the task failed before is the last choice. With
+/// `mixes`, the expected slow-down is taken into account.
 pub(crate) fn best_fit(
     now: Time,
     step: &ReadyStep<'_>,
     scope: &[Position],
     capacity: &CapacityMap<'_>,
     with_slower: bool,
+    mixes: Option<&HostMixes>,
 ) -> BTreeMap<u32, UpstreamName> {
+    let is_slow_down_first = mixes.is_some_and(|mixes| mixes.may_leave_best_fit(step, capacity));
     let claim = step.spec.claim();
     let placed = BTreeMap::new();
     let mut fill = Fill { now, step, claim, counts: running_counts(step), placed };
-    let slots = scope.iter().map(|position| capacity.at(*position));
-    let slots = slots.filter(|candidate| with_slower || !candidate.slower);
-    let slots = slots.map(|candidate| Slot { candidate, available: candidate.available() });
+    let slots = scope.iter().map(|position| {
+        let candidate = capacity.at(*position);
+        let slow_down = mixes.map_or(0, |mixes| mixes.slow_down_steps(step, *position));
+        Slot { candidate, available: candidate.available(), slow_down, is_slow_down_first }
+    });
+    let slots = slots.filter(|slot| with_slower || !slot.candidate.slower);
     let slots: Vec<Slot<'_, '_>> = slots.filter(|slot| slot.can_take(&fill)).collect();
     if step.waiting.iter().any(|task| failed_at(step, *task).is_some()) {
         fill.fill_each(slots);
+    } else if is_slow_down_first && mixes.is_some_and(|mixes| mixes.is_slow_beside_itself(step)) {
+        fill.fill_in_turn(slots);
     } else {
         fill.fill_in_order(slots);
     }
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -9,6 +9,7 @@
 use hg_model::{EndKind, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
 
 use super::capacity_map::CapacityMap;
+use super::contention::{ContentionReport, ContentionTracker, avoided_by};
 use super::crash_guard::CrashGuard;
 use super::evacuation::evacuations;
 use super::guarantee::covered_jobs;
@@ -26,7 +27,7 @@
 use super::wave_scheduler::WaveScheduler;
 use super::{
     AdviceRequest, FleetObservations, HostMove, PaceChange, TicketCache, UpkeepOrder,
-    WorkflowBounds, WorkflowPolicies,
+    WorkflowBounds, WorkflowPolicies, WorkflowPolicy,
 };
 use crate::{HealthState, UpstreamHealth};
 
@@ -81,6 +82,8 @@
     pub moves: Vec<HostMove>,
     /// The next request to the service that decides where steps may run.
     pub advice_request: Option<AdviceRequest>,
+    /// What changed about contention between tasks.
+    pub contention: ContentionReport,
 }
 
 /// Decides which tasks start where and which runs are stopped.
@@ -89,7 +92,6 @@
 #[derive(Debug)]
 pub struct WorkflowScheduler {
     bounds: WorkflowBounds,
-    #[allow(dead_code, reason = "each policy reads it as it is wired")]
     policies: WorkflowPolicies,
     holds: Holds,
     /// Runs for which a stop was decided, with the time of that decision.
@@ -101,6 +103,7 @@
     tickets: TicketCache,
     standby: StandbyHosts,
     headroom: Headroom,
+    contention: ContentionTracker,
 }
 
 /// Inputs and results of one decision round.
@@ -144,6 +147,7 @@
             tickets: TicketCache::default(),
             standby: StandbyHosts::default(),
             headroom: Headroom::default(),
+            contention: ContentionTracker::default(),
         }
     }
 
@@ -177,6 +181,7 @@
         self.stopping.remove(run);
         self.speeds.record_run_closed(run);
         self.paces.forget(&run.task);
+        self.contention.record_run_closed(run);
     }
 
     /// Records the runs that an upstream listed. Returns the best-effort runs whose pace has to
@@ -198,6 +203,9 @@
             };
             self.speeds.record_listed(now, upstream, listing.clock, listed, expected);
         }
+        if self.policies.uses(WorkflowPolicy::Contention) {
+            self.contention.record_listing(now, ledger, upstream, listing);
+        }
         self.paces.record_listing(now, ledger, upstream, listing)
     }
 
@@ -247,6 +255,7 @@
         self.holds.apply_to(&mut round.capacity);
         start_suspects(suspects, &mut ready, &mut round);
         self.headroom.reserve(now, &round.runs, &mut round.capacity);
+        self.judge_contention(&ready, &mut round);
         let mut unplaced = Vec::new();
         for step in &ready {
             let all_placed = if self.holds.contains(&step.id) {
@@ -256,6 +265,7 @@
             };
             if !all_placed {
                 self.reserve_for_gang(step, &mut round);
+                round.capacity.record_unplaced(step);
                 unplaced.push(step);
             }
         }
@@ -274,6 +284,15 @@
         ready
     }
 
+    /// Judges what was learned about contention, and lets placement know.
+    fn judge_contention(&mut self, ready: &[ReadyStep<'_>], round: &mut Round<'_>) {
+        if self.policies.uses(WorkflowPolicy::Contention) {
+            round.decisions.contention = self.contention.judge(round.now, round.ledger);
+            let mixes = self.contention.host_mixes(&round.runs, ready, &round.capacity);
+            round.capacity.set_mixes(mixes);
+        }
+    }
+
     fn request_tickets(
         &mut self,
         ready: &[ReadyStep<'_>],
@@ -343,6 +362,8 @@
         let placed = place(round.now, step, &round.capacity);
         let all_placed = placed.len() == step.waiting.len();
         if all_placed || !step.is_urgent() {
+            let avoided = avoided_by(round.now, step, &placed, &round.capacity);
+            round.decisions.contention.avoided.extend(avoided);
             start(step, &placed, round);
             return all_placed;
         }
@@ -434,6 +455,7 @@
     for (index, upstream) in placed {
         let Some(report) = round.ledger.upstreams().get(upstream) else { continue };
         round.capacity.allocate(upstream, &claim);
+        round.capacity.record_start(upstream, step);
         round.decisions.starts.push(RunStart {
             task: TaskId { step: step.id.clone(), index: *index },
             run: step.next_run(*index),
--- a/crates/hg_policy/tests/workflow/main.rs
+++ b/crates/hg_policy/tests/workflow/main.rs
@@ -1,6 +1,8 @@
 //! Decisions about workflows; each test replays one load pattern.
 
 mod capacity_changes;
+mod contention;
+mod contention_replay;
 mod crashes;
 mod extreme_requests;
 mod harness;
