--- a/crates/hg_policy/src/workflow/capacity_map.rs
+++ b/crates/hg_policy/src/workflow/capacity_map.rs
@@ -7,7 +7,7 @@
 use hg_model::{PoolName, RackName, ResourceVector, StepSpec, UpstreamName, UpstreamReport};
 
 use super::FleetObservations;
-use super::contention::HostMixes;
+use super::contention::{HostMixes, StepMixes};
 use super::ready_steps::ReadyStep;
 use super::reservation::Reservation;
 
@@ -103,8 +103,8 @@
     }
 
     /// The classes of tasks on each upstream, where placement of a step depends on them.
-    pub(crate) fn mixes_for(&self, step: &ReadyStep<'_>) -> Option<&HostMixes> {
-        self.mixes.as_ref().filter(|mixes| mixes.concerns(step))
+    pub(crate) fn mixes_for<'b>(&'b self, step: &'b ReadyStep<'b>) -> Option<StepMixes<'b>> {
+        self.mixes.as_ref()?.for_step(step)
     }
 
     /// The candidate at a position that this map has named.
--- a/crates/hg_policy/src/workflow/contention.rs
+++ b/crates/hg_policy/src/workflow/contention.rs
@@ -18,7 +18,7 @@
 use hg_ledger::{ContentionPair, PairEvidence, RunRef, WorkflowLedger};
 use hg_model::{RunListing, TaskId, Time, UpstreamName};
 
-pub(crate) use host_mixes::HostMixes;
+pub(crate) use host_mixes::{HostMixes, StepMixes};
 
 use super::capacity_map::CapacityMap;
 use super::placement::place_packed;
@@ -91,8 +91,8 @@
     let avoided = placed.iter().filter_map(|(index, upstream)| {
         let instead_of = packed.get(index).filter(|packed| *packed != upstream)?;
         let (there, here) = (capacity.position(instead_of)?, capacity.position(upstream)?);
-        let is_gain = mixes.slow_down_steps(step, here) < mixes.slow_down_steps(step, there);
-        let (pair, factor) = mixes.worst_pair(step, there).filter(|_| is_gain)?;
+        let is_gain = mixes.slow_down_steps(here) < mixes.slow_down_steps(there);
+        let (pair, factor) = mixes.worst_pair(there).filter(|_| is_gain)?;
         let task = TaskId { step: step.id.clone(), index: *index };
         let (upstream, instead_of) = (upstream.clone(), instead_of.clone());
         Some(ContentionAvoided { task, upstream, instead_of, pair, factor })
--- a/crates/hg_policy/src/workflow/contention/contrasts.rs
+++ b/crates/hg_policy/src/workflow/contention/contrasts.rs
@@ -4,6 +4,9 @@
 //! class of tasks on its host. The speed of the host, the length of the task and the distance of its data
 //! are the same in both and cancel out.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
--- a/crates/hg_policy/src/workflow/contention/host_mixes.rs
+++ b/crates/hg_policy/src/workflow/contention/host_mixes.rs
@@ -93,89 +93,79 @@
         mixes
     }
 
-    fn class(&self, step: &ReadyStep<'_>) -> Option<ClassNumber> {
-        self.classes.get(&TaskClass::of(step.spec, &step.job.terms.queue)).copied()
+    /// The view for a step; `None` if its placement does not depend on its neighbours.
+    pub(crate) fn for_step<'b>(&'b self, step: &'b ReadyStep<'b>) -> Option<StepMixes<'b>> {
+        let class = TaskClass::of(step.spec, &step.job.terms.queue);
+        Some(StepMixes { mixes: self, step, class: *self.classes.get(&class)? })
     }
 
     fn slow_down(&self, aggressor: ClassNumber, victim: ClassNumber) -> f64 {
         self.slow_downs.get(&(aggressor, victim)).copied().unwrap_or(0.0)
     }
 
-    /// Whether placement of a step depends on its neighbours.
-    pub(crate) fn concerns(&self, step: &ReadyStep<'_>) -> bool {
-        self.class(step).is_some()
+    fn name(&self, number: ClassNumber) -> Option<&TaskClass> {
+        self.classes.iter().find(|(_, known)| **known == number).map(|(class, _)| class)
     }
+}
+
+/// The classes of tasks on each host, as they concern one step.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StepMixes<'a> {
+    mixes: &'a HostMixes,
+    step: &'a ReadyStep<'a>,
+    class: ClassNumber,
+}
 
-    /// Whether a step's tasks slow each other down.
-    pub(crate) fn is_slow_beside_itself(&self, step: &ReadyStep<'_>) -> bool {
-        let is_slow = |class| self.slow_down(class, class) > 0.0;
-        !step.spec.best_effort && self.class(step).is_some_and(is_slow)
+/// Queries.
+impl StepMixes<'_> {
+    /// Whether the step's tasks slow each other down.
+    pub(crate) fn is_slow_beside_itself(&self) -> bool {
+        !self.step.spec.best_effort && self.mixes.slow_down(self.class, self.class) > 0.0
     }
 
-    /// The sum of the logarithms of the slow-downs that a task of a step would suffer and cause on a
+    /// The sum of the logarithms of the slow-downs that a task of the step would suffer and cause on a
     /// host, in steps of `SLOW_DOWN_STEP`.
-    pub(crate) fn slow_down_steps(&self, step: &ReadyStep<'_>, host: Position) -> u32 {
-        let Some(class) = self.class(step) else { return 0 };
-        let terms = self.hosts[host].iter().map(|(other, present)| {
-            let suffered = self.suffered(step.spec, class, *other, present);
-            suffered + self.caused(step.spec, class, *other, present)
-        });
+    pub(crate) fn slow_down_steps(&self, host: Position) -> u32 {
+        let present = self.mixes.hosts[host].iter();
+        let terms = present
+            .map(|(other, present)| self.suffered(*other, present) + self.caused(*other, present));
         (terms.sum::<f64>() / SLOW_DOWN_STEP).round() as u32
     }
 
-    fn suffered(
-        &self,
-        spec: &StepSpec,
-        class: ClassNumber,
-        other: ClassNumber,
-        present: &Present,
-    ) -> f64 {
+    fn suffered(&self, other: ClassNumber, present: &Present) -> f64 {
+        let spec = self.step.spec;
         let is_slowed = !spec.best_effort && present.slows(spec);
-        if is_slowed { self.slow_down(other, class) } else { 0.0 }
+        if is_slowed { self.mixes.slow_down(other, self.class) } else { 0.0 }
     }
 
-    fn caused(
-        &self,
-        spec: &StepSpec,
-        class: ClassNumber,
-        other: ClassNumber,
-        present: &Present,
-    ) -> f64 {
-        self.slow_down(class, other) * f64::from(present.slowed_by(spec))
+    fn caused(&self, other: ClassNumber, present: &Present) -> f64 {
+        self.mixes.slow_down(self.class, other) * f64::from(present.slowed_by(self.step.spec))
     }
 
-    /// The pair with the largest slow-down that a task of a step would suffer or cause on a host, with the
+    /// The pair with the largest slow-down that a task of the step would suffer or cause on a host, with the
     /// factor.
-    pub(crate) fn worst_pair(
-        &self,
-        step: &ReadyStep<'_>,
-        host: Position,
-    ) -> Option<(ContentionPair, f64)> {
-        let class = self.class(step)?;
-        let pairs = self.hosts[host].iter().flat_map(|(other, present)| {
-            let suffered = self.suffered(step.spec, class, *other, present);
-            let caused = self.caused(step.spec, class, *other, present);
-            [((*other, class), suffered), ((class, *other), caused)]
+    pub(crate) fn worst_pair(&self, host: Position) -> Option<(ContentionPair, f64)> {
+        let pairs = self.mixes.hosts[host].iter().flat_map(|(other, present)| {
+            let (suffered, caused) = (self.suffered(*other, present), self.caused(*other, present));
+            [((*other, self.class), suffered), ((self.class, *other), caused)]
         });
-        let (key, slow_down) = pairs.max_by(|a, b| a.1.total_cmp(&b.1))?;
-        let name =
-            |number| self.classes.iter().find(|(_, n)| **n == number).map(|(c, _)| c.clone());
-        let pair = ContentionPair { aggressor: name(key.0)?, victim: name(key.1)? };
-        (slow_down > 0.0).then(|| (pair, self.slow_down(key.0, key.1).exp()))
+        let ((aggressor, victim), slow_down) = pairs.max_by(|a, b| a.1.total_cmp(&b.1))?;
+        let pair = ContentionPair {
+            aggressor: self.mixes.name(aggressor)?.clone(),
+            victim: self.mixes.name(victim)?.clone(),
+        };
+        let factor = self.mixes.slow_down(aggressor, victim).exp();
+        (slow_down > 0.0).then_some((pair, factor))
     }
 
-    /// Whether a step may be placed where the slow-down is least although best fit prefers another
+    /// Whether the step may be placed where the slow-down is least although best fit prefers another
     /// host: only work that can be placed anywhere and at any time, while the pool has idle
     /// upstreams and nothing waits that needs them.
-    pub(crate) fn may_leave_best_fit(
-        &self,
-        step: &ReadyStep<'_>,
-        capacity: &CapacityMap<'_>,
-    ) -> bool {
-        let spec = step.spec;
+    pub(crate) fn may_leave_best_fit(&self, capacity: &CapacityMap<'_>) -> bool {
+        let (step, spec) = (self.step, self.step.spec);
         let is_bound = step.is_urgent() || spec.gang || spec.rack_local || spec.data_rack.is_some();
         let pool = &step.job.terms.pool;
-        if is_bound || self.pressed.contains(pool) {
+        if is_bound || self.mixes.pressed.contains(pool) {
             return false;
         }
         let of_pool = capacity.candidates().filter(|candidate| candidate.report.pool == *pool);
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -10,7 +10,7 @@
 use hg_model::{ResourceVector, Time, UpstreamName};
 
 use super::capacity_map::{Candidate, CapacityMap, Position};
-use super::contention::HostMixes;
+use super::contention::StepMixes;
 use super::ready_steps::ReadyStep;
 use super::reservation::Reservation;
 
@@ -249,7 +249,7 @@
     let Some(mixes) = capacity.mixes_for(step).filter(|_| !packed.is_empty()) else {
         return packed;
     };
-    let spread = best_fit(now, step, scope, capacity, with_slower, Some(mixes));
+    let spread = best_fit(now, step, scope, capacity, with_slower, Some(&mixes));
     if spread.len() < packed.len() { packed } else { spread }
 }
 
@@ -262,22 +262,22 @@
     scope: &[Position],
     capacity: &CapacityMap<'_>,
     with_slower: bool,
-    mixes: Option<&HostMixes>,
+    mixes: Option<&StepMixes<'_>>,
 ) -> BTreeMap<u32, UpstreamName> {
-    let is_slow_down_first = mixes.is_some_and(|mixes| mixes.may_leave_best_fit(step, capacity));
+    let is_slow_down_first = mixes.is_some_and(|mixes| mixes.may_leave_best_fit(capacity));
     let claim = step.spec.claim();
     let placed = BTreeMap::new();
     let mut fill = Fill { now, step, claim, counts: running_counts(step), placed };
     let slots = scope.iter().map(|position| {
         let candidate = capacity.at(*position);
-        let slow_down = mixes.map_or(0, |mixes| mixes.slow_down_steps(step, *position));
+        let slow_down = mixes.map_or(0, |mixes| mixes.slow_down_steps(*position));
         Slot { candidate, available: candidate.available(), slow_down, is_slow_down_first }
     });
     let slots = slots.filter(|slot| with_slower || !slot.candidate.slower);
     let slots: Vec<Slot<'_, '_>> = slots.filter(|slot| slot.can_take(&fill)).collect();
     if step.waiting.iter().any(|task| failed_at(step, *task).is_some()) {
         fill.fill_each(slots);
-    } else if is_slow_down_first && mixes.is_some_and(|mixes| mixes.is_slow_beside_itself(step)) {
+    } else if is_slow_down_first && mixes.is_some_and(|mixes| mixes.is_slow_beside_itself()) {
         fill.fill_in_turn(slots);
     } else {
         fill.fill_in_order(slots);
