--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 47] = [
+pub const METRICS: [Metric; 49] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -273,6 +273,20 @@
         "tasks",
         "The account's tasks that may start and wait, where there is a fair order.",
     ),
+    metric(
+        "heathergrade_contention_pairs",
+        Gauge,
+        "",
+        "pairs",
+        "Pairs of classes of tasks that placement keeps apart because one slows the other down.",
+    ),
+    metric(
+        "heathergrade_contention_avoided_total",
+        Counter,
+        "",
+        "runs",
+        "Starts on another upstream than best fit's because of tasks that run there.",
+    ),
 ];
 
 /// Describes all metrics to the recorder, with meaning and unit.
--- a/crates/hg_control/src/snapshot.rs
+++ b/crates/hg_control/src/snapshot.rs
@@ -15,6 +15,7 @@
     snapshot.extend(encode(ledger.workflows().host_speeds()));
     snapshot.extend(encode(ledger.workflows().run_times()));
     snapshot.extend(encode(ledger.workflows().usage()));
+    snapshot.extend(encode(ledger.workflows().contention()));
     snapshot
 }
 
@@ -40,6 +41,9 @@
     if let Some(usage) = next_part(&mut rest)? {
         ledger.restore_usage(usage);
     }
+    if let Some(contention) = next_part(&mut rest)? {
+        ledger.restore_contention(contention);
+    }
     Ok(ledger)
 }
 
--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -89,8 +89,6 @@
                     "event" => "upstream.silenced", "upstream" => %name,
                     "incarnation" => incarnation.0, "runs" => runs.len());
             }
-            // These were logged with their reasons when they were decided.
-            WorkflowCommand::UpstreamCrashed { .. } | WorkflowCommand::GiveUp { .. } => {}
             WorkflowCommand::HostSpeeds { changed, .. } => {
                 debug!(self.log, "workflow: speeds of hosts recorded"; "event" => "host.speeds",
                     "hosts" => changed.len());
@@ -99,6 +97,9 @@
             WorkflowCommand::StartDrain { .. } | WorkflowCommand::EndDrain { .. } => {}
             WorkflowCommand::RunTimesLearned { changes, .. } => self.log_run_times(changes),
             WorkflowCommand::Forget { .. } | WorkflowCommand::RecordUsage(_) => {}
+            WorkflowCommand::UpstreamCrashed { .. }
+            | WorkflowCommand::GiveUp { .. }
+            | WorkflowCommand::RecordContention { .. } => {}
         }
     }
 }
--- a/crates/hg_ledger/src/ledger.rs
+++ b/crates/hg_ledger/src/ledger.rs
@@ -9,9 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AccountUsage, Command, Crashes, Drains, ENDED_MAX, ENDED_WITH_NOTES_MAX, Effect, EndedJob,
-    FAILURES_MAX, HostSpeeds, Job, JobEvent, LearnedRunTimes, ListConflict, OPERATIONS_MAX,
-    Outcome, REFUSALS_MAX, WorkflowLedger,
+    AccountUsage, Command, Contention, Crashes, Drains, ENDED_MAX, ENDED_WITH_NOTES_MAX, Effect,
+    EndedJob, FAILURES_MAX, HostSpeeds, Job, JobEvent, LearnedRunTimes, ListConflict,
+    OPERATIONS_MAX, Outcome, REFUSALS_MAX, WorkflowLedger,
 };
 
 /// The result of applying one command of the log.
@@ -140,6 +140,11 @@
         self.workflows.restore_usage(usage);
     }
 
+    /// Restores the learned contention, which a snapshot keeps apart.
+    pub fn restore_contention(&mut self, contention: Contention) {
+        self.workflows.restore_contention(contention);
+    }
+
     /// Applies one command of the log. A command that no longer applies changes nothing.
     pub fn apply(&mut self, command: Command) -> Applied {
         match command {
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -7,7 +7,10 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{AccountUsage, ExposedRun, HostSpeed, QueueTerms, RunTimeChange, UpkeepStage};
+use super::{
+    AccountUsage, ContentionPair, ExposedRun, HostSpeed, PairEvidence, QueueTerms, RunTimeChange,
+    UpkeepStage,
+};
 
 /// A decided start of a run. It is committed to the log before it is ordered at any upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -209,4 +212,11 @@
     },
     /// Replaces the recent use of resources by account.
     RecordUsage(AccountUsage),
+    /// Records learned contention between classes of tasks.
+    RecordContention {
+        /// Pairs without evidence from now on; they are removed first.
+        dropped: Vec<ContentionPair>,
+        /// Pairs with their evidence from now on.
+        changed: Vec<(ContentionPair, PairEvidence)>,
+    },
 }
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -9,9 +9,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    AccountUsage, Crashes, Drains, EndedWorkflow, ExposedRun, HostSpeeds, LearnedRunTimes, LostRun,
-    Occupancy, Occurrence, OpenRun, QueueTerms, RunRef, RunStart, RunTimeChange, SavedProgress,
-    StepRecord, TaskState, Waves, Workflow, WorkflowCommand, WorkflowEffect, WorkflowPhase,
+    AccountUsage, Contention, Crashes, Drains, EndedWorkflow, ExposedRun, HostSpeeds,
+    LearnedRunTimes, LostRun, Occupancy, Occurrence, OpenRun, QueueTerms, RunRef, RunStart,
+    RunTimeChange, SavedProgress, StepRecord, TaskState, Waves, Workflow, WorkflowCommand,
+    WorkflowEffect, WorkflowPhase,
 };
 
 /// Catalog, registered upstreams, workflows, open runs and maintenance waves.
@@ -39,6 +40,7 @@
     /// Kept apart in snapshots for the same reason.
     #[serde(skip)]
     usage: AccountUsage,
+    contention: Contention,
 }
 
 /// Fewer crashes of upstreams under a task never fail its workflow.
@@ -131,6 +133,11 @@
         &self.usage
     }
 
+    /// The learned contention between classes of tasks.
+    pub const fn contention(&self) -> &Contention {
+        &self.contention
+    }
+
     /// When the oldest retained workflow in its final state ended; `None` if none is retained.
     pub fn oldest_end_time(&self) -> Option<Time> {
         self.ended.get(self.ended_order.front()?).map(|ended| ended.at)
@@ -212,6 +219,9 @@
             }
             WorkflowCommand::RunTimesLearned { changes, at } => self.learn_run_times(changes, at),
             WorkflowCommand::RecordUsage(usage) => self.restore_usage(usage),
+            WorkflowCommand::RecordContention { dropped, changed } => {
+                self.contention.record(&dropped, changed);
+            }
         }
         effects
     }
@@ -251,6 +261,11 @@
         self.usage.retain_accounts(self.catalog.as_ref());
     }
 
+    /// Restores the learned contention that a snapshot keeps apart.
+    pub(crate) fn restore_contention(&mut self, contention: Contention) {
+        self.contention = contention;
+    }
+
     fn crash_upstream(
         &mut self,
         name: UpstreamName,
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -3,6 +3,7 @@
 
 mod account_usage;
 mod command;
+mod contention;
 mod crash;
 mod drains;
 mod effect;
@@ -16,6 +17,10 @@
 
 pub use account_usage::{AccountUsage, ResourceTime};
 pub use command::{LostRun, RunStart, SavedProgress, WorkflowCommand};
+pub use contention::{
+    CONTENTION_CLASSES_MAX, CONTENTION_PAIRS_MAX, Contention, ContentionPair, DirectionEvidence,
+    PairEvidence,
+};
 pub use crash::{Crashes, ExposedRun, TaskCrash, UpstreamCrash};
 pub use drains::{DRAINS_MAX, Drains};
 pub use effect::{RunRef, WorkflowEffect};
--- a/crates/hg_policy/src/lib.rs
+++ b/crates/hg_policy/src/lib.rs
@@ -44,8 +44,9 @@
 pub use scheduler::{Abort, Decisions, Refusal, Scheduler, Shortage};
 pub use wait::WaitReason;
 pub use workflow::{
-    AccountShare, AdviceRequest, BoundError, FleetObservations, HostMove, PaceChange, Rejection,
-    RunStop, RunTimeSummary, SpeedChange, SpeedClass, StopReason, TicketCache, UnknownPolicy,
-    UpkeepOrder, WorkflowBounds, WorkflowDecisions, WorkflowPolicies, WorkflowPolicy,
-    WorkflowScheduler, admit, run_time_summaries,
+    AccountShare, AdviceRequest, BoundError, ContentionAvoided, ContentionFinding,
+    ContentionReport, FleetObservations, HostMove, PaceChange, Rejection, RunStop, RunTimeSummary,
+    SpeedChange, SpeedClass, StopReason, TicketCache, UnknownPolicy, UpkeepOrder, WorkflowBounds,
+    WorkflowDecisions, WorkflowPolicies, WorkflowPolicy, WorkflowScheduler, admit,
+    run_time_summaries,
 };
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -10,6 +10,7 @@
 use hg_model::{ResourceVector, Time, UpstreamName};
 
 use super::capacity_map::{Candidate, CapacityMap, Position};
+use super::contention::StepMixes;
 use super::ready_steps::ReadyStep;
 use super::reservation::Reservation;
 use super::speed_placement::TierRanks;
@@ -38,6 +39,32 @@
     step: &ReadyStep<'_>,
     capacity: &CapacityMap<'_>,
     tiers: &[TierRanks],
+) -> BTreeMap<u32, UpstreamName> {
+    place_by(least_slowed, now, step, capacity, tiers)
+}
+
+/// The same without regard to contention.
+pub(crate) fn place_packed(
+    now: Time,
+    step: &ReadyStep<'_>,
+    capacity: &CapacityMap<'_>,
+    tiers: &[TierRanks],
+) -> BTreeMap<u32, UpstreamName> {
+    place_by(packed, now, step, capacity, tiers)
+}
+
+fn place_by(
+    fit: impl Fn(
+        Time,
+        &ReadyStep<'_>,
+        &[Position],
+        &CapacityMap<'_>,
+        Pass<'_>,
+    ) -> BTreeMap<u32, UpstreamName>,
+    now: Time,
+    step: &ReadyStep<'_>,
+    capacity: &CapacityMap<'_>,
+    tiers: &[TierRanks],
 ) -> BTreeMap<u32, UpstreamName> {
     let scopes = scopes(now, step, capacity);
     let mut best = BTreeMap::new();
@@ -57,7 +84,7 @@
         });
         for pass in passes {
             for scope in scopes.iter().filter(|scope| scope.is_local == is_local) {
-                let placed = best_fit(now, step, &scope.members, capacity, pass);
+                let placed = fit(now, step, &scope.members, capacity, pass);
                 if placed.len() == step.waiting.len() {
                     return placed;
                 }
@@ -145,6 +172,9 @@
     /// The rank of its tier of lasting speed.
     rank: usize,
     available: ResourceVector,
+    /// The expected slow-down there; it is compared before best fit, or only among equal choices.
+    slow_down: u32,
+    is_slow_down_first: bool,
 }
 
 impl Slot<'_, '_> {
@@ -157,8 +187,10 @@
 
     /// Orders upstreams by the rank of their tier and then by what is left there; the fullest comes
     /// first.
-    const fn fill_order(&self) -> (usize, u32, u32) {
-        (self.rank, self.available.accelerators, self.available.millicores)
+    const fn fill_order(&self) -> (usize, u32, u32, u32, u32) {
+        let (first, last) =
+            if self.is_slow_down_first { (self.slow_down, 0) } else { (0, self.slow_down) };
+        (self.rank, first, self.available.accelerators, self.available.millicores, last)
     }
 }
 
@@ -198,6 +230,21 @@
         }
     }
 
+    /// Places one task on each upstream in turn, for tasks that slow each other down.
+    fn fill_in_turn(&mut self, mut slots: Vec<Slot<'_, '_>>) {
+        let mut tasks = self.step.waiting.iter().copied().peekable();
+        slots.sort_by_key(Slot::fill_order);
+        while tasks.peek().is_some() {
+            slots.retain(|slot| slot.can_take(self));
+            if slots.is_empty() {
+                return;
+            }
+            for (slot, task) in slots.iter_mut().zip(&mut tasks) {
+                self.place(task, slot);
+            }
+        }
+    }
+
     /// Finds an upstream for each task by itself, since tasks that failed somewhere avoid that upstream.
     fn fill_each(&mut self, mut slots: Vec<Slot<'_, '_>>) {
         for task in &self.step.waiting {
@@ -212,28 +259,62 @@
     }
 }
 
+fn packed(
+    now: Time,
+    step: &ReadyStep<'_>,
+    scope: &[Position],
+    capacity: &CapacityMap<'_>,
+    pass: Pass<'_>,
+) -> BTreeMap<u32, UpstreamName> {
+    best_fit(now, step, scope, capacity, pass, None)
+}
+
+/// Places as many waiting tasks as best fit does. Where contention was found and there is room, each goes
+/// to the upstream with the least expected slow-down, otherwise that decides among equal choices.
+fn least_slowed(
+    now: Time,
+    step: &ReadyStep<'_>,
+    scope: &[Position],
+    capacity: &CapacityMap<'_>,
+    pass: Pass<'_>,
+) -> BTreeMap<u32, UpstreamName> {
+    let packed = packed(now, step, scope, capacity, pass);
+    let Some(mixes) = capacity.mixes_for(step).filter(|_| !packed.is_empty()) else {
+        return packed;
+    };
+    let spread = best_fit(now, step, scope, capacity, pass, Some(&mixes));
+    if spread.len() < packed.len() { packed } else { spread }
+}
+
 /// Places as many waiting tasks as possible within a scope, each on the upstream where it leaves
-/// the least capacity free. An upstream on which the task failed before is the last choice.
+/// the least capacity free. An upstream on which the task failed before is the last choice. With
+/// `mixes`, the expected slow-down is taken into account.
 fn best_fit(
     now: Time,
     step: &ReadyStep<'_>,
     scope: &[Position],
     capacity: &CapacityMap<'_>,
     pass: Pass<'_>,
+    mixes: Option<&StepMixes<'_>>,
 ) -> BTreeMap<u32, UpstreamName> {
+    let is_slow_down_first = mixes.is_some_and(|mixes| mixes.may_leave_best_fit(capacity));
     let claim = step.spec.claim();
     let placed = BTreeMap::new();
     let mut fill = Fill { now, step, claim, counts: running_counts(step), placed };
-    let slots = scope.iter().map(|position| capacity.at(*position));
-    let slots = slots.filter(|candidate| pass.with_slower || !candidate.slower);
-    let slots = slots.filter(|candidate| pass.with_cold || !candidate.is_cold);
-    let slots = slots.filter_map(|candidate| {
+    let slots = scope.iter().map(|position| (*position, capacity.at(*position)));
+    let slots = slots.filter(|(_, candidate)| pass.with_slower || !candidate.slower);
+    let slots = slots.filter(|(_, candidate)| pass.with_cold || !candidate.is_cold);
+    let slots = slots.filter_map(|(position, candidate)| {
         let rank = pass.tiers.rank(candidate.tier)?;
-        Some(Slot { candidate, rank, available: candidate.available() })
+        let available = candidate.available();
+        let slow_down = mixes.map_or(0, |mixes| mixes.slow_down_steps(position));
+        Some(Slot { candidate, rank, available, slow_down, is_slow_down_first })
     });
     let slots: Vec<Slot<'_, '_>> = slots.filter(|slot| slot.can_take(&fill)).collect();
     if step.waiting.iter().any(|task| failed_at(step, *task).is_some()) {
         fill.fill_each(slots);
+    } else if is_slow_down_first && mixes.is_some_and(|mixes| mixes.is_slow_beside_itself()) {
+        fill.fill_in_turn(slots);
     } else {
         fill.fill_in_order(slots);
     }
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -10,6 +10,7 @@
 
 use super::capacity_map::CapacityMap;
 use super::cold_starts::ColdStarts;
+use super::contention::{ContentionReport, ContentionTracker, avoided_by};
 use super::crash_guard::CrashGuard;
 use super::drain::{DrainContext, DrainMoves};
 use super::evacuation::evacuations;
@@ -98,6 +99,8 @@
     pub usage: Option<AccountUsage>,
     /// Accounts that are beyond twice their fair share, to be logged.
     pub beyond_share: Vec<AccountShare>,
+    /// What changed about contention between tasks.
+    pub contention: ContentionReport,
 }
 
 /// Decides which tasks start where and which runs are stopped.
@@ -121,6 +124,7 @@
     drain_moves: DrainMoves,
     cold_starts: ColdStarts,
     usage: UsageTracker,
+    contention: ContentionTracker,
 }
 
 /// Inputs and results of one decision round.
@@ -200,6 +204,7 @@
             drain_moves: DrainMoves::default(),
             cold_starts: ColdStarts::default(),
             usage: UsageTracker::default(),
+            contention: ContentionTracker::default(),
         }
     }
 
@@ -256,6 +261,7 @@
         self.host_speeds.record_run_closed(run);
         self.speeds.run_times.record_closed(&run.task);
         self.paces.forget(&run.task);
+        self.contention.record_run_closed(run);
     }
 
     /// Records the runs that an upstream listed. Returns the best-effort runs whose pace has to
@@ -291,6 +297,9 @@
             let (speeds, running) = (&mut self.speeds, &listing.running);
             speeds.record_listed(now, upstream, listing.clock, listed, running, expected);
         }
+        if self.policies.uses(WorkflowPolicy::Contention) {
+            self.contention.record_listing(now, ledger, upstream, listing);
+        }
         self.paces.record_listing(now, ledger, upstream, listing)
     }
 
@@ -368,6 +377,7 @@
         let in_effect = self.host_speeds.in_effect();
         self.headroom.reserve(now, &round.runs, &mut round.capacity, in_effect);
         self.drain(&mut round, fleet);
+        self.judge_contention(&ready, &mut round);
         let mut unplaced = Vec::new();
         for step in &ready {
             let all_placed = if self.holds.contains(&step.id) {
@@ -377,6 +387,7 @@
             };
             if !all_placed {
                 self.reserve_for_gang(step, &mut round);
+                round.capacity.record_unplaced(step);
                 unplaced.push(step);
             }
         }
@@ -409,6 +420,15 @@
         round.decisions.beyond_share = self.usage.take_reports();
     }
 
+    /// Judges what was learned about contention, and lets placement know.
+    fn judge_contention(&mut self, ready: &[ReadyStep<'_>], round: &mut Round<'_>) {
+        if self.policies.uses(WorkflowPolicy::Contention) {
+            round.decisions.contention = self.contention.judge(round.now, round.ledger);
+            let mixes = self.contention.host_mixes(&round.runs, ready, &round.capacity);
+            round.capacity.set_mixes(mixes);
+        }
+    }
+
     fn request_tickets(
         &mut self,
         ready: &[ReadyStep<'_>],
@@ -513,6 +533,8 @@
         let placed = place(round.now, step, &round.capacity, &passes(false));
         let all_placed = placed.len() == step.waiting.len();
         if all_placed || !step.is_urgent() {
+            let avoided = avoided_by(round.now, step, &placed, &round.capacity, &passes(false));
+            round.decisions.contention.avoided.extend(avoided);
             start(step, &placed, round);
             return all_placed;
         }
@@ -617,6 +639,7 @@
     for (index, upstream) in placed {
         let Some(report) = round.ledger.upstreams().get(upstream) else { continue };
         round.capacity.allocate(upstream, &claim);
+        round.capacity.record_start(upstream, step);
         round.decisions.starts.push(RunStart {
             task: TaskId { step: step.id.clone(), index: *index },
             run: step.next_run(*index),
--- a/crates/hg_policy/tests/workflow/main.rs
+++ b/crates/hg_policy/tests/workflow/main.rs
@@ -2,6 +2,8 @@
 
 mod account_replay;
 mod capacity_changes;
+mod contention;
+mod contention_replay;
 mod crashes;
 mod drain;
 mod extreme_requests;
