--- a/crates/hg_control/src/workflow/drains.rs
+++ b/crates/hg_control/src/workflow/drains.rs
@@ -16,6 +16,9 @@
 use super::dispatch::ANSWER_TIMEOUT;
 use crate::{Core, Ticket};
 
+#[cfg(test)]
+mod tests;
+
 /// After this time no start order that was put out before is still on its way to a connection: it waits for one and for
 /// its answer no longer than `ANSWER_TIMEOUT` each.
 const STARTS_SETTLED_AFTER: Duration = ANSWER_TIMEOUT.saturating_mul(2);
--- a/crates/hg_policy/src/workflow/drain.rs
+++ b/crates/hg_policy/src/workflow/drain.rs
@@ -130,7 +130,9 @@
             if !job.is_active() || cx.stopping.contains_key(&run) {
                 continue;
             }
-            let is_due = if spec.long_running {
+            let is_due = if spec.long_running && spec.gang {
+                has_room_for_gang(row, spec, capacity)
+            } else if spec.long_running {
                 self.may_move(cx, row, spec, &chosen, capacity)
             } else {
                 let gang_end = gang_ends.get(&row.task.step).copied().filter(|_| spec.gang);
@@ -188,3 +190,16 @@
         true
     }
 }
+
+/// Whether all members of a long-running gang fit elsewhere together. What its members elsewhere use counts as taken.
+fn has_room_for_gang(row: &RunRow<'_>, spec: &StepSpec, capacity: &CapacityMap<'_>) -> bool {
+    let Some((job, _)) = row.work else { return false };
+    let per_upstream_max = spec.per_upstream_max.unwrap_or(u32::MAX).min(spec.tasks);
+    let able = capacity.able(&job.terms.pool, spec).into_iter();
+    let usable = able.map(|position| capacity.at(position)).filter(|candidate| {
+        !candidate.is_cold && (!candidate.urgent_only || job.terms.priority == 0)
+    });
+    let members =
+        usable.map(|c| u64::from(c.available().count_of(&spec.claim(), per_upstream_max)));
+    members.sum::<u64>() >= u64::from(spec.tasks)
+}
--- a/crates/hg_policy/tests/workflow/drain.rs
+++ b/crates/hg_policy/tests/workflow/drain.rs
@@ -223,6 +223,29 @@
     assert!(harness.round(10).stops.is_empty());
 }
 
+/// Its members cannot move one by one, since none works without the others.
+#[test]
+fn long_running_gang_moves_whole_once_there_is_room_for_all_of_it() {
+    let mut harness = pool(4, 2);
+    harness.submit("filler", 0, vec![step(2, 600)]);
+    let fillers: Vec<RunRef> = harness.round(10).starts.iter().map(run_of).collect();
+    harness.submit("service", 1, vec![StepSpec { long_running: true, ..step(2, 0) }.with_gang()]);
+    let runs: Vec<RunRef> = harness.round(10).starts.iter().map(run_of).collect();
+    assert!(runs.iter().all(|run| is_south(&harness, &run.upstream)));
+    report_progress(&mut harness, &runs, 100, None);
+    start_drain(&mut harness);
+    harness.end(&fillers[0], EndKind::Done);
+    assert!(harness.round(10).stops.is_empty(), "there is room for one member only");
+    harness.end(&fillers[1], EndKind::Done);
+    let stops = harness.round(10).stops;
+    assert_eq!(drained(&harness, &stops), 2);
+    for stop in &stops {
+        harness.end(&stop.run, EndKind::Stopped);
+    }
+    let again = targets(&harness.round(10).starts);
+    assert_eq!(again, BTreeSet::from([upstream(0), upstream(1)]));
+}
+
 /// A task that serves users would otherwise be stopped for room that other work takes before it can start again.
 #[test]
 fn room_for_a_long_running_task_is_kept_while_it_stops() {
