--- a/crates/hg_policy/src/workflow/host_speeds.rs
+++ b/crates/hg_policy/src/workflow/host_speeds.rs
@@ -261,13 +261,11 @@
         self.hosts.get(host).copied().and_then(Evidence::estimate)
     }
 
-    /// The distribution of the logarithm of the ratio of run time to estimate of the runs of a queue
-    /// on a host of relative run time 1; `None` before enough were seen.
-    pub(crate) fn usual_ratio(&self, queue: &QueueName, is_gang: bool) -> Option<LogSpeed> {
+    /// The mean logarithm of the ratio of run time to estimate of the runs of a queue on a host of
+    /// relative run time 1; `None` before enough were seen.
+    pub(crate) fn usual_ratio(&self, queue: &QueueName, is_gang: bool) -> Option<f64> {
         let kind = RunKind { queue: queue.clone(), is_gang };
-        let stats = self.kinds.get(&kind)?;
-        let usual = stats.usual()?;
-        Some(LogSpeed { variance: usual.variance.max(stats.noise(is_gang)), ..usual })
+        self.kinds.get(&kind)?.usual().map(|usual| usual.mean)
     }
 
     fn expect(&self, pool: &PoolName, evidence: Evidence) -> LogSpeed {
--- a/crates/hg_policy/src/workflow/preemption.rs
+++ b/crates/hg_policy/src/workflow/preemption.rs
@@ -73,7 +73,7 @@
 }
 
 impl PreemptionContext<'_, '_> {
-    /// Whether the step is certain to be late on an upstream because of its host's lasting speed.
+    /// Whether the step is expected to be late on an upstream because of its host's lasting speed.
     fn is_late_on(&self, candidate: &Candidate<'_>) -> bool {
         self.tiers.is_some_and(|tiers| tiers.is_late_on(candidate.tier))
     }
--- a/crates/hg_policy/src/workflow/speed_placement.rs
+++ b/crates/hg_policy/src/workflow/speed_placement.rs
@@ -4,26 +4,23 @@
 //! hosts that meet its objective, so that faster ones remain for work that needs them, and never to
 //! none: if no host meets it, the step starts where it ends first.
 
-use std::time::Duration;
-
 use hg_model::{Time, WorkflowSpec};
 
 use super::host_speeds::HostSpeedEstimates;
 use super::pool_speeds::{PoolSpeeds, SpeedClass, SpeedTier};
 use super::ready_steps::ReadyStep;
-use super::speed_groups::LogSpeed;
 
 /// A tier meets an objective with at least this probability.
 const MEETS: f64 = 0.9;
-/// Work is certain to be late on a tier below this probability.
-const LATE: f64 = 0.1;
-/// The spread of run times on a host, before it is learned (standard deviation of the logarithm).
-const RUN_SPREAD: f64 = 0.2;
-/// The learned spread of a queue counts at most this much, since it includes how inaccurate its
-/// estimates are for all hosts alike.
-const RUN_SPREAD_MAX: f64 = 0.4;
+/// Work is expected to be late on a tier below this probability.
+const LATE: f64 = 0.5;
+/// The spread of run times of equal work on hosts of one speed (standard deviation of the logarithm).
+/// How inaccurate estimates are does not count: callers measure the objective by the actual work.
+const RUN_SPREAD: f64 = 0.12;
+/// What starting a run takes, in milliseconds.
+const START_MS: f64 = 250.0;
 /// Preempting for an urgent step is worth at most this many times its own work, if it could start on
-/// hosts on which it is certain to be late.
+/// hosts on which it is expected to be late.
 const GAIN_FACTOR: u64 = 2;
 /// A logistic function with this slope approximates the normal distribution to 0.01.
 const LOGISTIC_SLOPE: f64 = 1.702;
@@ -35,7 +32,7 @@
     Meets,
     /// It may meet it.
     Open,
-    /// The step is certain to be late there.
+    /// The step is expected to be late there.
     Late,
 }
 
@@ -70,25 +67,24 @@
     ) -> Self {
         let is_gang = step.spec.gang && step.spec.tasks > 1;
         let usual = estimates.usual_ratio(&step.job.terms.queue, is_gang);
-        let usual =
-            usual.unwrap_or(LogSpeed { mean: -speeds.median, variance: RUN_SPREAD.powi(2) });
-        let slack = slack(now, step);
+        let usual = usual.map_or(1.0, |usual| (usual + speeds.median).exp());
+        let slack = slack(now, step, usual).map(|slack| slack + speeds.median);
         let members = if is_gang { step.spec.tasks } else { 1 };
         let mut order: Vec<(usize, f64, f64)> = Vec::new();
         for (number, tier) in speeds.tiers.iter().enumerate() {
-            order.push((number, chance(tier, slack, usual, members), rank_mean(tier)));
+            order.push((number, chance(tier, slack, members), rank_mean(tier)));
         }
         order.sort_by(|a, b| tier_key(a).cmp(&tier_key(b)).then_with(|| within(a, b)));
         let order = order.into_iter().map(|(number, chance, _)| (number, prospect(chance)));
         Self { order: order.collect() }
     }
 
-    /// Whether the step is certain to be late on a tier.
+    /// Whether the step is expected to be late on a tier.
     pub(crate) fn is_late_on(&self, tier: usize) -> bool {
         self.order.contains(&(tier, Prospect::Late))
     }
 
-    /// Whether an urgent step is certain to be late on some tiers and not on others.
+    /// Whether an urgent step is expected to be late on some tiers and not on others.
     pub(crate) fn divides(&self, step: &ReadyStep<'_>) -> bool {
         let late = self.order.iter().filter(|(_, prospect)| *prospect == Prospect::Late).count();
         step.is_urgent() && late > 0 && late < self.order.len()
@@ -96,7 +92,7 @@
 
     /// The passes of placement, the best first. A gang is as slow as its slowest member, so it tries
     /// each tier by itself before it mixes them. `timely_only` leaves out tiers on which the step is
-    /// certain to be late.
+    /// expected to be late.
     pub(crate) fn passes(&self, is_gang: bool, timely_only: bool) -> Vec<TierRanks> {
         let used: Vec<(usize, Prospect)> = self
             .order
@@ -162,18 +158,21 @@
     if tier.class == SpeedClass::Unknown { slowest + 0.01 } else { tier.mean() }
 }
 
-/// The logarithm of the factor by which a step may take longer than its estimate, if all that
-/// follows takes longer by the same; `None` if it may take as long as it does.
-fn slack(now: Time, step: &ReadyStep<'_>) -> Option<f64> {
+/// The logarithm of the factor by which a step may take longer than on the median host, if all that
+/// follows takes longer by the same; `None` if it may take as long as it does. `usual` is the ratio of
+/// actual work to estimates, by which the objective grows too.
+fn slack(now: Time, step: &ReadyStep<'_>, usual: f64) -> Option<f64> {
     let (job, spec) = (step.job, step.spec);
     let is_patient = spec.best_effort || spec.long_running || spec.estimate_ms == 0;
     if is_patient || job.terms.stretch_milli == 0 {
         return None;
     }
-    let objective = Duration::from_millis(job.terms.latency_objective_ms(&job.spec));
-    let left = step.due.after(objective).since(now).as_millis() as f64;
+    let stretch = f64::from(job.terms.stretch_milli) / 1_000.0;
+    let work = job.spec.estimated_chain_ms() as f64 * usual;
+    let objective = work * stretch + job.terms.objective_ms as f64;
+    let left = objective - now.since(step.due).as_millis() as f64 - START_MS;
     let chain = spec.estimate_ms.saturating_add(chain_after(&job.spec, step.id.step));
-    Some((left / chain as f64).max(f64::MIN_POSITIVE).ln())
+    Some((left / (chain as f64 * usual)).max(f64::MIN_POSITIVE).ln())
 }
 
 /// The longest chain of estimates that follows a step, in milliseconds.
@@ -193,13 +192,14 @@
     longest
 }
 
-/// The probability that a step with as much slack is in time on a tier. The members of a gang on
-/// hosts that are not known must all be fast enough.
-fn chance(tier: &SpeedTier, slack: Option<f64>, usual: LogSpeed, members: u32) -> f64 {
+/// The probability that a step with as much slack is in time on a tier. A gang takes as long as its
+/// slowest member, and its members on hosts that are not known must all be fast enough.
+fn chance(tier: &SpeedTier, slack: Option<f64>, members: u32) -> f64 {
     let Some(slack) = slack else { return 1.0 };
-    let deviation = usual.variance.sqrt().min(RUN_SPREAD_MAX);
+    // The largest of several normal deviates lies about this many standard deviations out.
+    let slowest = 0.75 * (2.0 * f64::from(members).ln()).sqrt();
     let by_group = tier.groups.iter().map(|(probability, center)| {
-        let distance = (slack - usual.mean - center) / deviation;
+        let distance = (slack - center) / RUN_SPREAD - slowest;
         probability / (1.0 + (-LOGISTIC_SLOPE * distance).exp())
     });
     let single: f64 = by_group.sum();
--- a/crates/hg_policy/tests/host_speeds/world.rs
+++ b/crates/hg_policy/tests/host_speeds/world.rs
@@ -4,7 +4,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
-use hg_ledger::{QueueTerms, RunRef, WorkflowCommand, WorkflowEffect, WorkflowLedger};
+use hg_ledger::{HostSpeed, QueueTerms, RunRef, WorkflowCommand, WorkflowEffect, WorkflowLedger};
 use hg_model::{
     Catalog, ClockReading, DataCentreName, EndKind, HostName, Incarnation, JobId, ListedRun,
     PoolName, QueueName, QueueSpec, RackName, ResourceVector, RunEnd, RunListing, StepSpec, Time,
@@ -371,6 +371,37 @@
         (f64::from(right) / all, f64::from(wrong) / all)
     }
 
+    /// Writes the planted speeds of all hosts to the ledger.
+    pub fn plant_estimates(&mut self) {
+        let at = self.now;
+        let speed = |factor: f64| HostSpeed {
+            log_centi: (factor.ln() * 100.0) as i16,
+            deviation_centi: 8,
+            at,
+        };
+        let host = |number| HostName::new(format!("m{number}")).expect("a valid name");
+        let hosts = 0..self.setup.hosts;
+        let changed = hosts.map(|number| (host(number), speed(self.factor(number)))).collect();
+        self.apply(WorkflowCommand::HostSpeeds { changed, at });
+    }
+
+    /// The relative run times of the hosts that run jobs of a queue.
+    pub fn factors_of(&self, queue: &str) -> Vec<f64> {
+        let of_queue = |run: &&Run| run.run.task.step.job.as_str().starts_with(queue);
+        let runs = self.runs.values().filter(of_queue);
+        runs.map(|run| self.factor_of(&run.run.upstream)).collect()
+    }
+
+    /// Ends the runs on hosts of a speed.
+    pub fn end_runs_on(&mut self, factor: f64) {
+        let runs: Vec<RunRef> = self.runs.values().map(|run| run.run.clone()).collect();
+        for run in runs {
+            if self.factor_of(&run.upstream) == factor {
+                self.end(&run, EndKind::Done);
+            }
+        }
+    }
+
     /// Replaces the leader: the memory beside the ledger is lost.
     pub fn change_leader(&mut self) {
         self.scheduler = scheduler(self.setup.with_policy);
