Leader world: learned run times are replicated, outlive leaders and break no invariant

Nothing played a leader with the policy run-times. Five worlds without faults learn, keep what was learned with another leader and end all workflows; five with faults and leader changes keep every invariant that the world checks.

--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use hg_model::{ClockReading, ResourceVector, StepSpec, WorkflowSpec};
-use hg_policy::WorkflowBounds;
+use hg_policy::{WorkflowBounds, WorkflowPolicies, WorkflowPolicy};
 use workflow_world::{Faults, World};
 
 /// Number of seeds for each mix of faults; `HG_SEEDS` sets another number.
@@ -216,3 +216,43 @@
     }
     assert!(world.unfinished().is_empty(), "the other upstreams do all of the work");
 }
+
+/// Guards against learned run times that break what the world checks.
+#[test]
+fn workflows_end_with_learned_run_times_despite_faults() {
+    for seed in 0..5 {
+        let faults = Faults {
+            lost_orders: 30,
+            failing_runs: 50,
+            disconnects: 200,
+            crashes: 100,
+            leader_changes: 100,
+            cancels: 100,
+            ..Faults::default()
+        };
+        let mut world = World::new(seed, faults);
+        world.use_policies(WorkflowPolicies::from_iter([WorkflowPolicy::RunTimes]));
+        world.run(4_000);
+        play(world);
+    }
+}
+
+/// Guards against run times that are not replicated, or lost with a leader.
+#[test]
+fn run_times_are_learned_and_outlive_leaders() {
+    for seed in 0..5 {
+        let mut world = World::new(seed, Faults::default());
+        world.use_policies(WorkflowPolicies::from_iter([WorkflowPolicy::RunTimes]));
+        world.run(4_000);
+        for number in 1_000..1_010 {
+            world.submit(number);
+            world.run(500);
+        }
+        world.run(10_000);
+        assert!(world.learned_run_times() > 0, "seed {seed}");
+        world.change_leader();
+        world.run(4_000);
+        assert!(world.learned_run_times() > 0, "seed {seed}: by another leader");
+        play(world);
+    }
+}
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -105,6 +105,8 @@
 pub struct World {
     core: Core<MemoryDisk>,
     bounds: WorkflowBounds,
+    /// The optional policies of leaders that start from now on.
+    policies: WorkflowPolicies,
     disk: MemoryDisk,
     now: u64,
     rng: ChaCha8Rng,
@@ -164,8 +166,9 @@
         let now = 1_000_000;
         let storage = Storage::create(disk.clone(), replica(), founding()).expect("memory");
         let mut world = Self {
-            core: core(storage, bounds, now, seed),
+            core: core(storage, bounds, WorkflowPolicies::default(), now, seed),
             bounds,
+            policies: WorkflowPolicies::default(),
             disk,
             now,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -200,6 +203,17 @@
         world
     }
 
+    /// Starts a leader with optional policies, which later ones use as well.
+    pub fn use_policies(&mut self, policies: WorkflowPolicies) {
+        self.policies = policies;
+        self.change_leader();
+    }
+
+    /// How many distributions of run times are in the leader's replicated state.
+    pub fn learned_run_times(&self) -> usize {
+        self.core.ledger().workflows().run_times().distributions().len()
+    }
+
     /// Advances the simulation by `ms`.
     pub fn run(&mut self, ms: u64) {
         for _ in 0..ms / STEP_MS {
@@ -342,7 +356,7 @@
     pub fn change_leader(&mut self) {
         let storage = Storage::open(self.disk.clone()).expect("memory").expect("founded");
         let seed = self.rng.random_range(0..u64::MAX);
-        self.core = core(storage, self.bounds, self.now, seed);
+        self.core = core(storage, self.bounds, self.policies.clone(), self.now, seed);
         trace(self.now, "another leader");
         self.pending_tickets.clear();
         self.in_flight.retain(|_, item| matches!(item, InFlight::Order(..)));
@@ -774,6 +788,7 @@
 fn core(
     storage: Storage<MemoryDisk>,
     bounds: WorkflowBounds,
+    policies: WorkflowPolicies,
     now: u64,
     seed: u64,
 ) -> Core<MemoryDisk> {
@@ -782,7 +797,7 @@
         limits: ControlLimits::default(),
         policy: PolicyConfig::default(),
         workflows: bounds,
-        policies: WorkflowPolicies::default(),
+        policies,
         drain: None,
     };
     Core::new(storage, cfg, logger(), Time(now), seed)
