--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -109,6 +109,7 @@
 pub struct World {
     core: Core<MemoryDisk>,
     bounds: WorkflowBounds,
+    /// The optional policies of leaders that start from now on.
     policies: WorkflowPolicies,
     disk: MemoryDisk,
     now: u64,
@@ -192,6 +193,9 @@
             core: core(storage, bounds, policies.clone(), now, seed),
             bounds,
             policies,
+            core: core(storage, bounds, WorkflowPolicies::default(), now, seed),
+            bounds,
+            policies: WorkflowPolicies::default(),
             disk,
             now,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -228,6 +232,17 @@
         world
     }
 
+    /// Starts a leader with optional policies, which later ones use as well.
+    pub fn use_policies(&mut self, policies: WorkflowPolicies) {
+        self.policies = policies;
+        self.change_leader();
+    }
+
+    /// How many distributions of run times are in the leader's replicated state.
+    pub fn learned_run_times(&self) -> usize {
+        self.core.ledger().workflows().run_times().distributions().len()
+    }
+
     /// Advances the simulation by `ms`.
     pub fn run(&mut self, ms: u64) {
         for _ in 0..ms / STEP_MS {
@@ -880,6 +895,7 @@
         policies,
         drain: Some(Duration::from_secs(5)),
         data_centres: BTreeSet::new(),
+        drain: None,
     };
     Core::new(storage, cfg, logger(), Time(now), seed)
 }
