Admission control by forecast, with retry times and promises

During a burst callers waited for work that could not start while it was of any value. With the policy admission-forecast the leader forecasts the start of a new job from running and waiting work and rejects it, before anything is logged, if no value is left even with the learned margin. The retry time is spread by second and bounded by the pool's capacity; capacity is promised where the return is in time.

Not built: entries that answer from a copy of the forecast.

The test of metric names now covers names that begin with heathergrade_ as well.

--- a/crates/hg_cli/src/explain.rs
+++ b/crates/hg_cli/src/explain.rs
@@ -76,7 +76,11 @@
 /// One sentence about the job's outcome and its cause.
 fn summary(history: &[LogLine]) -> String {
     let last = |event: &str| history.iter().rev().find(|line| line.event == event);
-    if let Some(line) = last("workflow.rejected") {
+    // A caller may return after a rejection by forecast, and be accepted.
+    let accepted_at = last("workflow.accepted").map(|line| line.at);
+    if let Some(line) = last("workflow.rejected")
+        && accepted_at.is_none_or(|at| at < line.at)
+    {
         return format!("Rejected: {}.", line.text("reason").unwrap_or("no reason was logged"));
     }
     let state = last("workflow.ended").and_then(|line| line.text("state"));
--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 39] = [
+pub const METRICS: [Metric; 41] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -147,10 +147,24 @@
     metric(
         "hg_workflow_rejected",
         Counter,
-        "reason: fits_nowhere, gang_too_large",
+        "reason: fits_nowhere, gang_too_large, forecast",
         "workflows",
         "Workflows rejected at submission.",
     ),
+    metric(
+        "heathergrade_rejected_total",
+        Counter,
+        "reason: promised, too_late",
+        "workflows",
+        "Workflows rejected by forecast: with room promised at the retry time, or with room only when they are of no value.",
+    ),
+    metric(
+        "heathergrade_forecast_start_ms",
+        Gauge,
+        "pool, priority",
+        "milliseconds",
+        "When a new task of one accelerator, or one core, would start; 60,000 if later.",
+    ),
     metric(
         "hg_workflow_ended",
         Counter,
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -171,6 +171,7 @@
         let decisions = leadership.scheduler.decide(now, ledger, &fleet);
         telemetry::record_round(started.elapsed());
         telemetry::record_starts(decisions.starts.len());
+        telemetry::record_forecast(&leadership.scheduler);
         let jobs: BTreeSet<_> = decisions.starts.iter().map(|start| &start.task.step.job).collect();
         for job in jobs {
             telemetry::record_first_start(now, ledger, job);
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -11,6 +11,7 @@
 mod broken_gangs;
 mod crash_evidence;
 mod dispatch;
+mod forecast;
 mod leadership;
 mod log_lines;
 mod order;
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -8,7 +8,7 @@
     Catalog, HeartbeatReadings, Incarnation, JobId, QueueSpec, Time, UpstreamName, UpstreamReport,
     WaveNumber, WaveSpec, WorkflowSpec, WorkflowState,
 };
-use hg_policy::admit;
+use hg_policy::{Submission, admit};
 use hg_replica::Disk;
 use slog::info;
 
@@ -190,6 +190,11 @@
             return Some(WorkflowReply::Rejected { reason, retry_after_ms: RETRY_AFTER_MS });
         }
         let terms = QueueTerms::of(queue);
+        let submission =
+            Submission { id: &id, spec: &spec, terms: &terms, account: account.as_ref() };
+        if let Some(rejected) = self.reject_by_forecast(now, &submission) {
+            return Some(rejected);
+        }
         let command = WorkflowCommand::Accept { id, spec, terms, account, at: now };
         self.propose_workflow(now, ticket, command, WorkflowReplyKind::Accepted)
     }
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -4,7 +4,7 @@
 
 use hg_ledger::{UpkeepStage, WorkflowLedger};
 use hg_model::{EndKind, JobId, Time, WorkflowState};
-use hg_policy::{Rejection, StopReason};
+use hg_policy::{ForecastRejection, Rejection, StopReason, WorkflowScheduler};
 
 use super::{Order, OrderKind, OrderResult};
 
@@ -20,6 +20,21 @@
     metrics::counter!("hg_workflow_rejected", "reason" => reason).increment(1);
 }
 
+pub(super) fn record_forecast_rejection(rejection: &ForecastRejection) {
+    let reason = if rejection.is_promised { "promised" } else { "too_late" };
+    metrics::counter!("heathergrade_rejected_total", "reason" => reason).increment(1);
+    metrics::counter!("hg_workflow_rejected", "reason" => "forecast").increment(1);
+}
+
+/// Records the forecast start of new work, by pool and priority.
+pub(super) fn record_forecast(scheduler: &WorkflowScheduler) {
+    for (pool, priority, start_ms) in scheduler.forecast_starts() {
+        let (pool, priority) = (pool.to_string(), priority.to_string());
+        metrics::gauge!("heathergrade_forecast_start_ms", "pool" => pool, "priority" => priority)
+            .set(start_ms as f64);
+    }
+}
+
 pub(super) fn record_ended(state: Option<WorkflowState>) {
     if let Some(state) = state {
         metrics::counter!("hg_workflow_ended", "state" => state.to_string()).increment(1);
--- a/crates/hg_control/tests/metric_table.rs
+++ b/crates/hg_control/tests/metric_table.rs
@@ -40,7 +40,7 @@
         for part in text.split("metrics::").skip(1) {
             let Some((_, rest)) = part.split_once('"') else { continue };
             let name = rest.split('"').next().unwrap_or_default();
-            if name.starts_with("hg_") {
+            if name.starts_with("hg_") || name.starts_with("heathergrade_") {
                 recorded.insert(name.to_owned());
             }
         }
--- a/crates/hg_policy/src/lib.rs
+++ b/crates/hg_policy/src/lib.rs
@@ -44,7 +44,8 @@
 pub use scheduler::{Abort, Decisions, Refusal, Scheduler, Shortage};
 pub use wait::WaitReason;
 pub use workflow::{
-    AdviceRequest, BoundError, FleetObservations, HostMove, PaceChange, Rejection, RunStop,
-    StopReason, TicketCache, UnknownPolicy, UpkeepOrder, WorkflowBounds, WorkflowDecisions,
-    WorkflowPolicies, WorkflowPolicy, WorkflowScheduler, admit,
+    Admittance, AdviceRequest, BoundError, FleetObservations, ForecastRejection, HostMove,
+    PaceChange, Rejection, RunStop, StopReason, Submission, TicketCache, UnknownPolicy,
+    UpkeepOrder, WorkflowBounds, WorkflowDecisions, WorkflowPolicies, WorkflowPolicy,
+    WorkflowScheduler, admit,
 };
--- a/crates/hg_policy/src/workflow/guarantee.rs
+++ b/crates/hg_policy/src/workflow/guarantee.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hg_ledger::{Workflow, WorkflowLedger};
-use hg_model::{AccountName, JobId};
+use hg_model::{AccountName, JobId, WorkflowSpec};
 
 /// The urgent workflows that fit into their account's guarantee together, the earliest accepted
 /// first.
@@ -25,7 +25,7 @@
         jobs.sort_by_key(|(id, job)| (job.accepted_at, *id));
         let mut remaining = u64::from(account.guaranteed_accelerators);
         for (id, job) in jobs {
-            let required = required_accelerators(job);
+            let required = required_accelerators(&job.spec);
             if required <= remaining && account.guaranteed_accelerators > 0 {
                 remaining -= required;
                 covered.insert((*id).clone());
@@ -40,8 +40,8 @@
 }
 
 /// The accelerators of the step that needs most of them.
-fn required_accelerators(job: &Workflow) -> u64 {
+pub(crate) fn required_accelerators(spec: &WorkflowSpec) -> u64 {
     let of =
         |step: &hg_model::StepSpec| u64::from(step.tasks) * u64::from(step.per_task.accelerators);
-    job.spec.steps.iter().map(of).max().unwrap_or(0)
+    spec.steps.iter().map(of).max().unwrap_or(0)
 }
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -25,17 +25,24 @@
 //!   pool).
 //! * `standby` borrows hosts and returns them (load: more work than a pool can hold, for a while).
 //! * [`WorkflowBounds`] holds the time bounds of the deployment, from which timeouts follow.
+//! * `admission_forecast` rejects jobs that could not start while they are of value, and tells their
+//!   callers when to return (load: more work than a pool can serve for a while); `pool_forecast`,
+//!   `capacity_profile`, `arrival_rates`, `forecast_error` and `retry_promises` are its parts.
 //! * `admission` rejects jobs that can never run (load: jobs that no upstream can hold).
 //! * [`WorkflowPolicies`] names the optional policies that a deployment uses.
 //! * [`WorkflowScheduler`] combines them.
 
 mod admission;
+mod admission_forecast;
+mod arrival_rates;
 mod availability;
 mod bounds;
 mod capacity_map;
+mod capacity_profile;
 mod crash_guard;
 mod evacuation;
 mod fleet_observations;
+mod forecast_error;
 mod guarantee;
 mod headroom;
 mod holds;
@@ -43,9 +50,11 @@
 mod pace_controller;
 mod placement;
 mod policies;
+mod pool_forecast;
 mod preemption;
 mod ready_steps;
 mod reservation;
+mod retry_promises;
 mod run_table;
 mod scheduler;
 mod speed_tracker;
@@ -54,6 +63,7 @@
 mod wave_scheduler;
 
 pub use admission::{Rejection, admit};
+pub use admission_forecast::{Admittance, ForecastRejection, Submission};
 pub use bounds::{BoundError, WorkflowBounds};
 pub use fleet_observations::FleetObservations;
 pub use pace_controller::PaceChange;
--- a/crates/hg_policy/src/workflow/ready_steps.rs
+++ b/crates/hg_policy/src/workflow/ready_steps.rs
@@ -12,7 +12,7 @@
 use hg_model::{JobId, RunNumber, StepId, StepSpec, Time, UpstreamName};
 
 /// A job that takes longer than this multiple of its latency objective has no value any more.
-const LATE_FACTOR: u64 = 3;
+pub(crate) const LATE_FACTOR: u64 = 3;
 
 /// Once a workflow has this many tasks that may start, its later occurrences wait for the earlier ones. As many as a single
 /// occurrence may have.
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -6,8 +6,9 @@
 
 use derive_more::Display;
 use hg_ledger::{RunRef, RunStart, WorkflowLedger};
-use hg_model::{EndKind, JobId, RunListing, StepId, TaskId, Time, UpstreamName};
+use hg_model::{EndKind, JobId, PoolName, RunListing, StepId, TaskId, Time, UpstreamName};
 
+use super::admission_forecast::AdmissionForecast;
 use super::capacity_map::CapacityMap;
 use super::crash_guard::CrashGuard;
 use super::evacuation::evacuations;
@@ -17,6 +18,7 @@
 use super::isolation::{Isolation, Suspects, apart_until, take_suspects};
 use super::pace_controller::PaceController;
 use super::placement::place;
+use super::pool_forecast::ForecastInputs;
 use super::preemption::{PreemptionContext, PreemptionPlan, plan_preemption};
 use super::ready_steps::{ReadyStep, ready_steps};
 use super::reservation::{DrainTimes, reserve};
@@ -25,8 +27,8 @@
 use super::standby::StandbyHosts;
 use super::wave_scheduler::WaveScheduler;
 use super::{
-    AdviceRequest, FleetObservations, HostMove, PaceChange, TicketCache, UpkeepOrder,
-    WorkflowBounds, WorkflowPolicies,
+    Admittance, AdviceRequest, FleetObservations, ForecastRejection, HostMove, PaceChange,
+    Submission, TicketCache, UpkeepOrder, WorkflowBounds, WorkflowPolicies, WorkflowPolicy,
 };
 use crate::{HealthState, UpstreamHealth};
 
@@ -89,7 +91,6 @@
 #[derive(Debug)]
 pub struct WorkflowScheduler {
     bounds: WorkflowBounds,
-    #[allow(dead_code, reason = "each policy reads it as it is wired")]
     policies: WorkflowPolicies,
     holds: Holds,
     /// Runs for which a stop was decided, with the time of that decision.
@@ -101,6 +102,7 @@
     tickets: TicketCache,
     standby: StandbyHosts,
     headroom: Headroom,
+    admission: AdmissionForecast,
 }
 
 /// Inputs and results of one decision round.
@@ -122,6 +124,12 @@
         matches!(self.health.state(now, upstream), HealthState::Quarantined(_))
     }
 
+    /// When a new small task of each pool and priority would start, in milliseconds; nothing unless jobs are
+    /// admitted by forecast.
+    pub fn forecast_starts(&self) -> impl Iterator<Item = (&PoolName, u32, u64)> {
+        self.admission.starts()
+    }
+
     /// The tickets that allow steps to start.
     pub const fn tickets(&self) -> &TicketCache {
         &self.tickets
@@ -144,6 +152,7 @@
             tickets: TicketCache::default(),
             standby: StandbyHosts::default(),
             headroom: Headroom::default(),
+            admission: AdmissionForecast::default(),
         }
     }
 
@@ -224,6 +233,23 @@
         self.tickets.invalidate(upstream);
     }
 
+    /// Decides by forecast whether a workflow is accepted; accepts everything unless that policy is in use.
+    ///
+    /// # Errors
+    ///
+    /// [`ForecastRejection`] if it could not start while it is of value.
+    pub fn admit_by_forecast(
+        &mut self,
+        now: Time,
+        ledger: &WorkflowLedger,
+        submission: &Submission<'_>,
+    ) -> Result<Admittance, ForecastRejection> {
+        if !self.policies.uses(WorkflowPolicy::AdmissionForecast) {
+            return Ok(Admittance::Unconditional);
+        }
+        self.admission.judge(now, ledger, submission)
+    }
+
     /// Decides what starts and what is stopped at `now`.
     pub fn decide(
         &mut self,
@@ -261,10 +287,29 @@
         }
         self.request_tickets(&ready, &unplaced, &mut round);
         let starting = round.decisions.starts.iter().map(|start| start.upstream.clone()).collect();
+        self.forecast(&ready, &round);
         round.decisions.moves = self.standby.round(now, ledger, fleet, &unplaced, &starting);
         round.decisions
     }
 
+    /// Makes the forecast for new jobs from a round's results, if it is due.
+    fn forecast(&mut self, ready: &[ReadyStep<'_>], round: &Round<'_>) {
+        if !self.policies.uses(WorkflowPolicy::AdmissionForecast) {
+            return;
+        }
+        for start in &round.decisions.starts {
+            self.admission.record_start(round.now, &start.task.step.job);
+        }
+        if self.admission.is_due(round.now) {
+            let Round { now, ledger, covered, runs, capacity, .. } = round;
+            let (speeds, stop_done) = (&self.speeds, self.bounds.stop_done());
+            let (now, ledger) = (*now, *ledger);
+            let inputs =
+                ForecastInputs { now, ledger, runs, ready, covered, capacity, speeds, stop_done };
+            self.admission.refresh(&inputs);
+        }
+    }
+
     /// The steps that may start now, each with the upstreams that it is allowed on.
     fn ready<'a>(&self, round: &Round<'a>) -> Vec<ReadyStep<'a>> {
         let mut ready = ready_steps(round.now, round.ledger, &round.covered);
--- a/crates/hg_policy/src/workflow/speed_tracker.rs
+++ b/crates/hg_policy/src/workflow/speed_tracker.rs
@@ -172,6 +172,14 @@
         by_rate.unwrap_or_else(|| estimate.saturating_sub(now.since(open.since)))
     }
 
+    /// The median ratio of run time to estimate of a queue's latest tasks; `None` if too few are known.
+    pub(crate) fn median_ratio(&self, queue: &QueueName) -> Option<f64> {
+        let ratios = self.ratios.get(queue).filter(|ratios| ratios.len() >= RATIOS_MIN)?;
+        let mut sorted: Vec<f64> = ratios.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        sorted.get(sorted.len() / 2).copied()
+    }
+
     /// Runs on slow upstreams that would end sooner if they were restarted elsewhere.
     pub(crate) fn stragglers(&self, now: Time, ledger: &WorkflowLedger) -> Vec<RunRef> {
         let median_slowness = self.median_slowness(now);
