--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -15,6 +15,7 @@
 mod crash_evidence;
 mod dispatch;
 mod drains;
+mod forecast;
 mod host_speeds;
 mod leadership;
 mod log_lines;
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use hg_model::{ClockReading, ResourceVector, StepSpec, WorkflowSpec};
-use hg_policy::{WorkflowBounds, WorkflowPolicy, WorkflowPolicies};
+use hg_policy::{WorkflowBounds, WorkflowPolicies, WorkflowPolicy};
 use workflow_world::{Faults, World};
 
 /// Number of seeds for each mix of faults; `HG_SEEDS` sets another number.
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -193,9 +193,6 @@
             core: core(storage, bounds, policies.clone(), now, seed),
             bounds,
             policies,
-            core: core(storage, bounds, WorkflowPolicies::default(), now, seed),
-            bounds,
-            policies: WorkflowPolicies::default(),
             disk,
             now,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -895,7 +892,6 @@
         policies,
         drain: Some(Duration::from_secs(5)),
         data_centres: BTreeSet::new(),
-        drain: None,
     };
     Core::new(storage, cfg, logger(), Time(now), seed)
 }
--- a/crates/hg_policy/src/workflow/ready_steps.rs
+++ b/crates/hg_policy/src/workflow/ready_steps.rs
@@ -14,7 +14,7 @@
 use super::run_times::{Chances, RunTimes};
 
 /// A job that takes longer than this multiple of its latency objective has no value any more.
-const LATE_FACTOR: u64 = 3;
+pub(crate) const LATE_FACTOR: u64 = 3;
 
 /// A job has an outlook if its chance of it is at least this.
 const CHANCE_MIN: f64 = 0.05;
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -6,8 +6,11 @@
 
 use derive_more::Display;
 use hg_ledger::{AccountUsage, HostSpeed, RunRef, RunStart, RunTimeChange, WorkflowLedger};
-use hg_model::{EndKind, HostName, JobId, RunEnd, RunListing, StepId, TaskId, Time, UpstreamName};
+use hg_model::{
+    EndKind, HostName, JobId, PoolName, RunEnd, RunListing, StepId, TaskId, Time, UpstreamName,
+};
 
+use super::admission_forecast::AdmissionForecast;
 use super::capacity_map::CapacityMap;
 use super::cold_starts::ColdStarts;
 use super::contention::{ContentionReport, ContentionTracker, avoided_by};
@@ -21,6 +24,7 @@
 use super::isolation::{Isolation, Suspects, apart_until, take_suspects};
 use super::pace_controller::PaceController;
 use super::placement::place;
+use super::pool_forecast::ForecastInputs;
 use super::preemption::{PreemptionContext, PreemptionPlan, plan_preemption};
 use super::ready_steps::{ReadyStep, ready_steps};
 use super::reservation::{DrainTimes, reserve};
@@ -33,8 +37,9 @@
 use super::usage_tracker::UsageTracker;
 use super::wave_scheduler::WaveScheduler;
 use super::{
-    AccountShare, AdviceRequest, FleetObservations, HostMove, PaceChange, SpeedClass, TicketCache,
-    UpkeepOrder, WorkflowBounds, WorkflowPolicies, WorkflowPolicy,
+    AccountShare, Admittance, AdviceRequest, FleetObservations, ForecastRejection, HostMove,
+    PaceChange, SpeedClass, Submission, TicketCache, UpkeepOrder, WorkflowBounds, WorkflowPolicies,
+    WorkflowPolicy,
 };
 use crate::{HealthState, UpstreamHealth};
 
@@ -125,6 +130,7 @@
     cold_starts: ColdStarts,
     usage: UsageTracker,
     contention: ContentionTracker,
+    admission: AdmissionForecast,
 }
 
 /// Inputs and results of one decision round.
@@ -153,6 +159,12 @@
         self.usage.last_shares()
     }
 
+    /// When a new small task of each pool and priority would start, in milliseconds; nothing unless jobs are
+    /// admitted by forecast.
+    pub fn forecast_starts(&self) -> impl Iterator<Item = (&PoolName, u32, u64)> {
+        self.admission.starts()
+    }
+
     /// The tickets that allow steps to start.
     pub const fn tickets(&self) -> &TicketCache {
         &self.tickets
@@ -205,6 +217,7 @@
             cold_starts: ColdStarts::default(),
             usage: UsageTracker::default(),
             contention: ContentionTracker::default(),
+            admission: AdmissionForecast::default(),
         }
     }
 
@@ -343,6 +356,23 @@
         self.tickets.invalidate(upstream);
     }
 
+    /// Decides by forecast whether a workflow is accepted; accepts everything unless that policy is in use.
+    ///
+    /// # Errors
+    ///
+    /// [`ForecastRejection`] if it could not start while it is of value.
+    pub fn admit_by_forecast(
+        &mut self,
+        now: Time,
+        ledger: &WorkflowLedger,
+        submission: &Submission<'_>,
+    ) -> Result<Admittance, ForecastRejection> {
+        if !self.policies.uses(WorkflowPolicy::AdmissionForecast) {
+            return Ok(Admittance::Unconditional);
+        }
+        self.admission.judge(now, ledger, submission)
+    }
+
     /// Decides what starts and what is stopped at `now`.
     pub fn decide(
         &mut self,
@@ -393,10 +423,29 @@
         }
         self.request_tickets(&ready, &unplaced, &mut round);
         let starting = round.decisions.starts.iter().map(|start| start.upstream.clone()).collect();
+        self.forecast(&ready, &round);
         round.decisions.moves = self.standby.round(now, ledger, fleet, &unplaced, &starting);
         round.decisions
     }
 
+    /// Makes the forecast for new jobs from a round's results, if it is due.
+    fn forecast(&mut self, ready: &[ReadyStep<'_>], round: &Round<'_>) {
+        if !self.policies.uses(WorkflowPolicy::AdmissionForecast) {
+            return;
+        }
+        for start in &round.decisions.starts {
+            self.admission.record_start(round.now, &start.task.step.job);
+        }
+        if self.admission.is_due(round.now) {
+            let Round { now, ledger, covered, runs, capacity, .. } = round;
+            let (speeds, stop_done) = (&self.speeds, self.bounds.stop_done());
+            let (now, ledger) = (*now, *ledger);
+            let inputs =
+                ForecastInputs { now, ledger, runs, ready, covered, capacity, speeds, stop_done };
+            self.admission.refresh(&inputs);
+        }
+    }
+
     /// The steps that may start now, each with the upstreams that it is allowed on.
     fn ready<'a>(&self, round: &Round<'a>) -> Vec<ReadyStep<'a>> {
         let mut ready =
--- a/crates/hg_policy/tests/workflow/main.rs
+++ b/crates/hg_policy/tests/workflow/main.rs
@@ -1,6 +1,9 @@
 //! Decisions about workflows; each test replays one load pattern.
 
 mod account_replay;
+mod admission_replay;
+mod admission_rules;
+mod admission_world;
 mod capacity_changes;
 mod contention;
 mod contention_replay;
