Run times are learned as on a host of normal speed; the goal of admission control is a test of its own

Run times on hosts that are slow for good were counted for the queue, so that its estimates seemed too low there. The factor of the host, where speeds are in effect, is taken out now.

--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -292,6 +292,7 @@
     /// Updates metrics and the leader's state after a command was applied, in addition to its effects.
     pub(crate) fn apply_workflow_command(&mut self, now: Time, command: &WorkflowCommand) {
         let Some(leadership) = self.workflow_leadership.as_mut() else { return };
+        let ledger = self.ledger.workflows();
         if let WorkflowCommand::RunsLost { runs, .. } = command {
             telemetry::record_lost(runs.len());
         }
@@ -305,7 +306,7 @@
             for end in ends {
                 telemetry::record_end(end.kind);
                 if end.kind == EndKind::Done {
-                    leadership.scheduler.record_completed(*at, end);
+                    leadership.scheduler.record_completed(*at, ledger, upstream, end);
                 }
                 leadership.scheduler.record_end(now, upstream, &end.task.step.job, end.kind);
                 leadership.broken_gangs.record_end(end);
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -48,9 +48,6 @@
 /// Length of an upstream's first quarantine; each further one is twice as long.
 const QUARANTINE_FIRST: Duration = Duration::from_secs(4);
 
-/// The time that runs take on a host, relative to a normal one, while the lasting speeds of hosts are not known.
-const NORMAL_HOST_FACTOR: f64 = 1.0;
-
 /// Why a run is stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum StopReason {
@@ -258,8 +255,17 @@
     }
 
     /// Records that a run completed at `at`, before it is recorded as closed: its run time is learned from.
-    pub fn record_completed(&mut self, at: Time, end: &RunEnd) {
-        self.speeds.run_times.record_completed(at, &end.task, end.run, NORMAL_HOST_FACTOR);
+    /// Where the lasting speeds of hosts are in effect, its time counts as on a host of normal speed.
+    pub fn record_completed(
+        &mut self,
+        at: Time,
+        ledger: &WorkflowLedger,
+        upstream: &UpstreamName,
+        end: &RunEnd,
+    ) {
+        let report = ledger.upstreams().get(upstream);
+        let host_factor = report.map_or(1.0, |report| self.host_speeds.factor_of(report));
+        self.speeds.run_times.record_completed(at, &end.task, end.run, host_factor);
     }
 
     /// The completed runs that are to be added to the replicated run times; empty unless that is due.
--- a/crates/hg_policy/tests/workflow/admission_replay.rs
+++ b/crates/hg_policy/tests/workflow/admission_replay.rs
@@ -20,9 +20,17 @@
             with.rejections
         );
         assert!(with.value >= 0.98 * without.value, "{} {}", with.value, without.value);
-        // The goal of 0.9 is not reached at four times the capacity, with or without rejection: the order of service
-        // itself loses more. See docs/design/admission-control.md.
-        assert!(with.value >= 0.8 * best, "{} of {best}", with.value);
+    }
+}
+
+/// The goal: at 2 and 4 times the capacity at least 0.9 of the value that a scheduler with exact estimates serves if
+/// it leaves out the jobs that get no value.
+#[test]
+fn burst_value_reaches_goal() {
+    for (load, seed, mix) in [(2.0, 1, &MIXED[..]), (4.0, 1, &MIXED), (4.0, 1, &[1])] {
+        let jobs = arrivals(seed, load, 2.0, 1.0, mix);
+        let (value, best) = (replay(&jobs, true).value, clairvoyant_value(&jobs));
+        assert!(value >= 0.9 * best, "load {load}, priorities {mix:?}: {value} of {best}");
     }
 }
 
--- a/crates/hg_policy/tests/workflow/replay.rs
+++ b/crates/hg_policy/tests/workflow/replay.rs
@@ -132,7 +132,8 @@
             let (task, number) = (run.task.clone(), run.run);
             let end =
                 RunEnd { number: 0, task, run: number, kind: EndKind::Done, checkpoint: None };
-            self.harness.scheduler.record_completed(now, &end);
+            let Harness { scheduler, ledger, .. } = &mut self.harness;
+            scheduler.record_completed(now, ledger, &run.upstream, &end);
             self.harness.end(&run, EndKind::Done);
             let name = run.task.step.job.as_str();
             let is_ended = self.harness.state(name) == Some(WorkflowState::Completed);
--- a/crates/hg_policy/tests/workflow/run_times.rs
+++ b/crates/hg_policy/tests/workflow/run_times.rs
@@ -124,7 +124,8 @@
     list(&mut harness, &[(run.clone(), 50)]);
     let (task, number) = (run.task.clone(), run.run);
     let end = RunEnd { number: 1, task, run: number, kind: EndKind::Done, checkpoint: None };
-    harness.scheduler.record_completed(harness.now, &end);
+    let Harness { scheduler, ledger, now, .. } = &mut harness;
+    scheduler.record_completed(*now, ledger, &run.upstream, &end);
     assert_eq!(harness.scheduler.take_run_time_changes(harness.now).len(), 1);
 }
 
