--- a/crates/hg_control/tests/snapshot.rs
+++ b/crates/hg_control/tests/snapshot.rs
@@ -265,6 +265,13 @@
     let start = WorkflowCommand::StartDrain { data_centre: data_centre.clone(), at };
     assert_eq!(position(&start), [VERSION, 15]);
     assert_eq!(position(&WorkflowCommand::EndDrain { data_centre, at }), [VERSION, 16]);
+    let speeds = WorkflowCommand::HostSpeeds { changed: Vec::new(), at };
+    assert_eq!(position(&speeds), [VERSION, 17]);
+    let run_times = WorkflowCommand::RunTimesLearned { changes: Vec::new(), at };
+    assert_eq!(position(&run_times), [VERSION, 18]);
     let usage = WorkflowCommand::RecordUsage(AccountUsage::default());
-    assert_eq!(position(&usage), [VERSION, 15]);
+    assert_eq!(position(&usage), [VERSION, 19]);
+    let (dropped, changed) = (Vec::new(), Vec::new());
+    let contention = WorkflowCommand::RecordContention { dropped, changed };
+    assert_eq!(position(&contention), [VERSION, 20]);
 }
