--- a/crates/hg_policy/tests/workflow/harness.rs
+++ b/crates/hg_policy/tests/workflow/harness.rs
@@ -1,6 +1,7 @@
 //! A small pool with a ledger and a scheduler, driven one round at a time.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hg_ledger::{QueueTerms, RunRef, RunStart, WorkflowCommand, WorkflowEffect, WorkflowLedger};
 use hg_model::{
@@ -200,3 +201,9 @@
         leaving: false,
     }
 }
+
+/// The processor time of this thread: unlike elapsed time it does not grow while other processes use the processors.
+pub fn processor_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    Duration::try_from(time).expect("not negative")
+}
