--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod worker;
 
 mod case_ends_cut;
+mod case_upkeep;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -32,6 +33,7 @@
     };
     let outcome = match case.as_str() {
         "ends-cut" => case_ends_cut::play(&record, has_trouble),
+        "upkeep" => case_upkeep::play(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
     match outcome {
