--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 
 mod case_ends_cut;
 mod case_reclaim;
+mod case_rerouted;
 mod case_upkeep;
 
 use std::path::Path;
@@ -36,6 +37,7 @@
         "ends-cut" => case_ends_cut::play(&record, has_trouble),
         "upkeep" => case_upkeep::play(&record, has_trouble),
         "reclaim" => case_reclaim::play(&record, has_trouble),
+        "rerouted" => case_rerouted::play(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
     match outcome {
