--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod worker;
 
 mod case_ends_cut;
+mod case_flap;
 mod case_reclaim;
 mod case_rerouted;
 mod case_upkeep;
@@ -38,6 +39,7 @@
         "upkeep" => case_upkeep::play(&record, has_trouble),
         "reclaim" => case_reclaim::play(&record, has_trouble),
         "rerouted" => case_rerouted::play(&record, has_trouble),
+        "flap" => case_flap::play(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
     match outcome {
