--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,8 +9,11 @@
 mod system;
 mod worker;
 
+mod case_advice;
+mod case_cut_long;
 mod case_ends_cut;
 mod case_flap;
+mod case_lasting;
 mod case_reclaim;
 mod case_rerouted;
 mod case_upkeep;
@@ -36,9 +39,12 @@
     };
     let outcome = match case.as_str() {
         "ends-cut" => case_ends_cut::play(&record, has_trouble),
+        "cut-long" => case_cut_long::play(&record, has_trouble),
+        "lasting" => case_lasting::play(&record, has_trouble),
         "upkeep" => case_upkeep::play(&record, has_trouble),
         "reclaim" => case_reclaim::play(&record, has_trouble),
         "rerouted" => case_rerouted::play(&record, has_trouble),
+        "advice" => case_advice::play(&record, has_trouble),
         "flap" => case_flap::play(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
