--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,7 @@
 mod case_ends_cut;
 mod case_flap;
 mod case_lasting;
+mod case_pending;
 mod case_reclaim;
 mod case_rerouted;
 mod case_upkeep;
@@ -44,6 +45,7 @@
         "upkeep" => case_upkeep::play(&record, has_trouble),
         "reclaim" => case_reclaim::play(&record, has_trouble),
         "rerouted" => case_rerouted::play(&record, has_trouble),
+        "pending" => case_pending::play(&record, has_trouble),
         "advice" => case_advice::play(&record, has_trouble),
         "flap" => case_flap::play(&record, has_trouble),
         _ => Err(format!("no case {case}")),
