--- a/crates/hg_control/src/workflow/dispatch.rs
+++ b/crates/hg_control/src/workflow/dispatch.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hg_ledger::{LostRun, WorkflowLedger};
+use hg_ledger::WorkflowLedger;
 use hg_model::{Checkpoint, ResourceVector, StepSpec, TaskId, Term, Time, UpstreamName};
 use hg_policy::{TicketCache, WorkflowBounds};
 
+use super::run_loss::{RunLoss, RunLossCause};
 use super::session::{RunSession, Session, StartStage, StopStage};
 use super::sessions::{Work, enforces_capacity};
 use super::{Order, OrderId, OrderKind};
@@ -68,7 +69,7 @@
         &mut self,
         session: &mut Session,
         ledger: &WorkflowLedger,
-        lost: &mut Vec<LostRun>,
+        lost: &mut Vec<RunLoss>,
     ) {
         let over = session.leases_are_over(self.now);
         let due = session.runs.iter().filter(|(_, run)| {
@@ -86,7 +87,8 @@
                 silenced.insert(task.clone());
             }
             if never_sent || expired {
-                lost.push(self.give_up(session, &task, &run));
+                let cause = if expired { RunLossCause::LeaseExpired } else { RunLossCause::Unsent };
+                lost.push(self.give_up(session, &task, &run, cause));
             } else if self.now < session.retry_at {
                 // The backoff after an unanswered order has not elapsed.
             } else if run.stop == StopStage::Requested {
@@ -104,7 +106,9 @@
                     StartRoom::Exceeded if run.may_exist() => {
                         update(session, &task, |run| run.stop = StopStage::Requested);
                     }
-                    StartRoom::Exceeded => lost.push(self.give_up(session, &task, &run)),
+                    StartRoom::Exceeded => {
+                        lost.push(self.give_up(session, &task, &run, RunLossCause::Unsent));
+                    }
                 }
             }
         }
@@ -155,18 +159,24 @@
         session: &mut Session,
         task: &TaskId,
         run: &RunSession,
-        lost: &mut Vec<LostRun>,
+        lost: &mut Vec<RunLoss>,
     ) {
         if !run.may_exist() {
-            lost.push(self.give_up(session, task, run));
+            lost.push(self.give_up(session, task, run, RunLossCause::Unsent));
         } else if run.unanswered_starts > 0 {
             update(session, task, |run| run.stop = StopStage::Requested);
         }
     }
 
-    fn give_up(&self, session: &mut Session, task: &TaskId, run: &RunSession) -> LostRun {
+    fn give_up(
+        &self,
+        session: &mut Session,
+        task: &TaskId,
+        run: &RunSession,
+        cause: RunLossCause,
+    ) -> RunLoss {
         update(session, task, |run| run.record_loss_proposal(self.now));
-        run.lost(task, self.name)
+        RunLoss { run: run.lost(task, self.name), cause }
     }
 
     fn start(
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -15,6 +15,7 @@
 use super::broken_gangs::BrokenGangs;
 use super::drains::DrainWatch;
 use super::platform_calls::PlatformCalls;
+use super::run_loss::RunLoss;
 use super::sessions::{Sessions, Work};
 use super::telemetry;
 use super::{OrderReport, OrderResult, StartRefusal};
@@ -146,6 +147,11 @@
     pub(crate) fn carry_out_work(&mut self, now: Time, work: Work) {
         telemetry::record_orders(&work.orders);
         self.actions.orders.extend(work.orders);
+        for RunLoss { run, cause } in &work.losses {
+            info!(self.log, "workflow: run given up"; "event" => "run.given_up",
+                "task" => %run.task, "run" => run.run.0, "upstream" => %run.upstream,
+                "cause" => %cause);
+        }
         for name in work.other_incarnations {
             if let Some(known) = self.ledger.workflows().upstreams().get(&name).cloned() {
                 self.on_incarnation_ended(now, &known);
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -25,6 +25,7 @@
 mod platform_reports;
 mod reports;
 mod request;
+mod run_loss;
 mod run_times;
 mod session;
 mod sessions;
--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -3,10 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use hg_ledger::{LostRun, WorkflowCommand};
+use hg_ledger::WorkflowCommand;
 use hg_model::{ListedRun, RunEnd, RunListing, TaskId, Time, UpstreamName};
 
 use super::dispatch::LISTING_WAIT;
+use super::run_loss::{RunLoss, RunLossCause};
 use super::session::{RunSession, SUSPECT_FOR, Session, StartStage, StopStage};
 use super::sessions::Work;
 use super::{OrderId, OrderResult, StartRefusal};
@@ -63,6 +64,7 @@
     session.record_answer();
     session.acknowledged_upto = session.acknowledged_upto.max(session.acknowledging_upto);
     session.record_listed(now);
+    let listed_ends = listing.ended.len();
     let fresh: Vec<RunEnd> =
         listing.ended.into_iter().filter(|end| end.number > session.recorded_upto).collect();
     let running: BTreeMap<&TaskId, _> =
@@ -71,6 +73,7 @@
     let is_orphan = |run: &&ListedRun| session.runs.get(&run.task).is_none_or(|r| r.run != run.run);
     session.orphans =
         listing.running.iter().filter(is_orphan).map(|run| (run.task.clone(), run.run)).collect();
+    let unlisted = RunLossCause::Unlisted { active: listing.running.len(), ended: listed_ends };
     let mut lost = Vec::new();
     for (task, run) in &mut session.runs {
         let listed = running.get(task).filter(|listed| listed.run == run.run);
@@ -79,12 +82,14 @@
             run.outcome_unknown = false;
             run.checkpoint = listed.checkpoint.clone().or(run.checkpoint.take());
         } else if !ended.contains(&(task, run.run)) && !run.is_loss_pending(now) {
-            lost.extend(on_unlisted(now, id, name, task, run));
+            if on_unlisted(now, id, run) {
+                let is_stopped = run.stop == StopStage::Acknowledged;
+                let cause = if is_stopped { RunLossCause::Stopped } else { unlisted };
+                lost.push(RunLoss { run: run.lost(task, name), cause });
+            }
         }
     }
-    if !lost.is_empty() {
-        work.commands.push(WorkflowCommand::RunsLost { runs: lost, at: now });
-    }
+    work.record_losses(now, lost);
     let pause = if session.recorded_upto > session.acknowledged_upto {
         Duration::ZERO
     } else {
@@ -101,15 +106,9 @@
     work.commands.push(WorkflowCommand::RunsEnded { upstream, incarnation, ends: fresh, at: now });
 }
 
-/// Handles a run that the upstream does not list. Returns it as lost if it certainly does not run there and
-/// never will.
-fn on_unlisted(
-    now: Time,
-    listing: OrderId,
-    name: &UpstreamName,
-    task: &TaskId,
-    run: &mut RunSession,
-) -> Option<LostRun> {
+/// Handles a run that the upstream does not list. Returns whether it is lost: it certainly does not run there
+/// and never will.
+fn on_unlisted(now: Time, listing: OrderId, run: &mut RunSession) -> bool {
     let is_after = listing >= run.first_later_order;
     let stopped = run.stop == StopStage::Acknowledged && is_after;
     let disappeared = run.start == StartStage::Confirmed && is_after;
@@ -123,11 +122,10 @@
         run.stop = StopStage::Requested;
     }
     let is_gone = stopped || (disappeared && !run.outcome_unknown);
-    if !is_gone {
-        return None;
+    if is_gone {
+        run.record_loss_proposal(now);
     }
-    run.record_loss_proposal(now);
-    Some(run.lost(task, name))
+    is_gone
 }
 
 /// Applies the result of a change of pace. Returns whether the change may not have been applied.
@@ -186,8 +184,9 @@
             session.renew_at = session.renew_at.min(now);
         }
         OrderResult::NotStarted(refusal) => {
-            if let Some(lost) = on_refusal(now, refusal, name, &task, run, first_later_order) {
-                work.commands.push(WorkflowCommand::RunsLost { runs: vec![lost], at: now });
+            if on_refusal(now, refusal, run, first_later_order) {
+                let (run, cause) = (run.lost(&task, name), RunLossCause::Refused);
+                work.record_losses(now, vec![RunLoss { run, cause }]);
             }
             let is_leader_fault = matches!(
                 refusal,
@@ -261,25 +260,23 @@
     reset_for_retry(run, id);
 }
 
-/// Handles a refused start. Returns the run as lost if the upstream certainly will never start it.
+/// Handles a refused start. Returns whether the run is lost: the upstream certainly will never start it.
 fn on_refusal(
     now: Time,
     refusal: StartRefusal,
-    name: &UpstreamName,
-    task: &TaskId,
     run: &mut RunSession,
     first_later_order: OrderId,
-) -> Option<LostRun> {
+) -> bool {
     match refusal {
         // The upstream already knew this run or a later one: the next listing shows which.
         StartRefusal::Outdated => {
             run.start = StartStage::Confirmed;
             run.first_later_order = first_later_order;
-            return None;
+            return false;
         }
         StartRefusal::Late | StartRefusal::Fenced => {
             run.start = StartStage::Unsent;
-            return None;
+            return false;
         }
         StartRefusal::NoRoom
         | StartRefusal::Ticket
@@ -292,8 +289,8 @@
         if run.stop == StopStage::NotRequested {
             run.stop = StopStage::Requested;
         }
-        return None;
+        return false;
     }
     run.record_loss_proposal(now);
-    Some(run.lost(task, name))
+    true
 }
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -12,6 +12,7 @@
 
 use super::dispatch::Dispatch;
 use super::reports::{RunReport, on_pace_report, on_renewal, on_run_report};
+use super::run_loss::{RunLoss, RunLossCause};
 use super::session::{RunSession, SUSPECT_FOR, Session, StartStage, StopStage};
 use super::{Order, OrderId, OrderReport};
 
@@ -31,6 +32,20 @@
     pub(crate) other_incarnations: Vec<UpstreamName>,
     /// Tasks whose change of pace may not have been applied.
     pub(crate) unconfirmed_paces: Vec<TaskId>,
+    /// The runs that the commands record as lost.
+    pub(crate) losses: Vec<RunLoss>,
+}
+
+impl Work {
+    /// Adds the command that records runs as lost, if there are any.
+    pub(super) fn record_losses(&mut self, now: Time, losses: Vec<RunLoss>) {
+        if losses.is_empty() {
+            return;
+        }
+        let runs = losses.iter().map(|loss| loss.run.clone()).collect();
+        self.commands.push(WorkflowCommand::RunsLost { runs, at: now });
+        self.losses.extend(losses);
+    }
 }
 
 /// The sessions of one leadership term.
@@ -318,14 +333,13 @@
             let is_certain = known.start == StartStage::Confirmed && !known.outcome_unknown;
             if is_certain && !known.is_loss_pending(now) {
                 known.record_loss_proposal(now);
-                lost.push(LostRun { is_unconfirmed: true, ..known.lost(task, upstream) });
+                let run = LostRun { is_unconfirmed: true, ..known.lost(task, upstream) };
+                lost.push(RunLoss { run, cause: RunLossCause::GangEnded });
                 session.suspect_until = now.after(SUSPECT_FOR);
                 work.commands.extend(session.silenced(now, upstream, ledger, |t| t == task));
             }
         }
-        if !lost.is_empty() {
-            work.commands.push(WorkflowCommand::RunsLost { runs: lost, at: now });
-        }
+        work.record_losses(now, lost);
     }
 
     /// Proposes to forget unconfirmed ends once all leases of their upstream have expired.
@@ -373,9 +387,7 @@
             }
             session.record_visit(now);
         }
-        if !lost.is_empty() {
-            work.commands.push(WorkflowCommand::RunsLost { runs: lost, at: now });
-        }
+        work.record_losses(now, lost);
     }
 
     /// Applies the result of an order.
