--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -81,7 +81,10 @@
             run.start = StartStage::Confirmed;
             run.outcome_unknown = false;
             run.checkpoint = listed.checkpoint.clone().or(run.checkpoint.take());
-        } else if !ended.contains(&(task, run.run)) && !run.is_loss_pending(now) {
+        } else if !listing.has_more_ends
+            && !ended.contains(&(task, run.run))
+            && !run.is_loss_pending(now)
+        {
             if on_unlisted(now, id, run) {
                 let is_stopped = run.stop == StopStage::Acknowledged;
                 let cause = if is_stopped { RunLossCause::Stopped } else { unlisted };
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -314,6 +314,46 @@
     assert!(world.unfinished().is_empty(), "the other upstreams do all of the work");
 }
 
+/// Guards against runs that count as lost because the listing that shows their ends lists only the first of many.
+#[test]
+fn ended_runs_that_a_listing_leaves_out_are_not_started_again() {
+    let mut world = World::with_fleet(1, Faults::default(), WorkflowBounds::default(), 1);
+    world.set_run_ms(3_000..4_000);
+    let small =
+        StepSpec { estimate_ms: 3_500, ..StepSpec::new(700, ResourceVector::new(0, 40, 64)) };
+    world.submit_spec(0, WorkflowSpec::new("work", vec![small]));
+    world.run(2_000);
+    assert_eq!(world.running(), 700);
+    world.set_disconnected(0, true);
+    world.run(5_500);
+    assert_eq!(world.running(), 0, "all runs have ended while their upstream is cut off");
+    world.set_disconnected(0, false);
+    world.run(3_000);
+    world.poll_states();
+    assert_eq!(world.wasted(), 0, "no run is done again");
+    assert!(world.unfinished().is_empty());
+}
+
+/// Guards against the same with listings that hold a single end, beside lost orders and changes of the leader.
+#[test]
+fn workflows_end_with_listings_of_one_end_despite_faults() {
+    for seed in 0..SCALED_SEEDS {
+        let faults = Faults {
+            lost_orders: 30,
+            late_orders: 30,
+            lost_answers: 30,
+            failing_runs: 50,
+            disconnects: 200,
+            crashes: 50,
+            leader_changes: 100,
+            ..Faults::default()
+        };
+        let mut world = World::new(seed, faults);
+        world.set_listed_ends_max(1);
+        play(world);
+    }
+}
+
 /// Guards against learned run times that break what the world checks.
 #[test]
 fn workflows_end_with_learned_run_times_despite_faults() {
--- a/crates/hg_control/tests/workflow_world/stand_in.rs
+++ b/crates/hg_control/tests/workflow_world/stand_in.rs
@@ -13,6 +13,8 @@
 
 use super::oracle::Oracle;
 
+/// Most ends in one listing, unless a test sets another number.
+pub const LISTED_ENDS_MAX: usize = 500;
 /// How long a stop takes, in percent of its bound.
 const STOP_PERCENT: u64 = 75;
 
@@ -46,6 +48,8 @@
     pub disconnected: bool,
     /// Whether it refuses starts that exceed its capacity.
     pub enforces_capacity: bool,
+    /// Most ends in one listing.
+    pub listed_ends_max: usize,
     /// The time bounds that it keeps.
     bounds: WorkflowBounds,
     started_at: u64,
@@ -72,6 +76,7 @@
             capacity,
             disconnected: false,
             enforces_capacity: true,
+            listed_ends_max: LISTED_ENDS_MAX,
             bounds,
             started_at: now,
             fence: Term(0),
@@ -264,7 +269,8 @@
             incarnation: self.incarnation,
             clock,
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(self.listed_ends_max).cloned().collect(),
+            has_more_ends: self.ended.len() > self.listed_ends_max,
         }
     }
 }
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -27,7 +27,7 @@
 
 use super::memory_disk::MemoryDisk;
 use super::oracle::Oracle;
-use super::stand_in::StandIn;
+use super::stand_in::{LISTED_ENDS_MAX, StandIn};
 
 /// One step of the simulation, in milliseconds.
 const STEP_MS: u64 = 10;
@@ -138,6 +138,8 @@
     late_heartbeats: BTreeMap<u64, Vec<(UpstreamReport, ClockReading)>>,
     /// Whether upstreams refuse starts that exceed their capacity.
     enforces_capacity: bool,
+    /// Most ends in one listing of an upstream.
+    listed_ends_max: usize,
     /// How long runs take, in milliseconds.
     run_ms: Range<u64>,
     /// How long the leader is told that each of its steps took.
@@ -213,6 +215,7 @@
             doomed: Vec::new(),
             late_heartbeats: BTreeMap::new(),
             enforces_capacity: true,
+            listed_ends_max: LISTED_ENDS_MAX,
             run_ms: 200..3_000,
             step_time: Duration::ZERO,
             steps: Vec::new(),
@@ -279,6 +282,23 @@
         self.unreachable.insert(name(number));
     }
 
+    /// Limits the ends in one listing of an upstream.
+    #[allow(dead_code, reason = "not every test that plays a world limits its listings")]
+    pub fn set_listed_ends_max(&mut self, listed_ends_max: usize) {
+        self.listed_ends_max = listed_ends_max;
+        for upstream in self.upstreams.values_mut() {
+            upstream.listed_ends_max = listed_ends_max;
+        }
+    }
+
+    /// Cuts an upstream off, or connects it again.
+    #[allow(dead_code, reason = "not every test that plays a world cuts upstreams off by itself")]
+    pub fn set_disconnected(&mut self, number: u32, disconnected: bool) {
+        if let Some(upstream) = self.upstreams.get_mut(&name(number)) {
+            upstream.disconnected = disconnected;
+        }
+    }
+
     /// Sets how long runs take that start from now on, in milliseconds.
     pub fn set_run_ms(&mut self, run_ms: Range<u64>) {
         self.run_ms = run_ms;
@@ -795,6 +815,7 @@
         let mut stand_in =
             StandIn::new(name.clone(), self.incarnations, HOST, self.bounds, self.now);
         stand_in.enforces_capacity = self.enforces_capacity;
+        stand_in.listed_ends_max = self.listed_ends_max;
         self.upstreams.insert(name.clone(), stand_in);
     }
 
--- a/crates/hg_model/src/workflow/run.rs
+++ b/crates/hg_model/src/workflow/run.rs
@@ -65,4 +65,6 @@
     pub running: Vec<ListedRun>,
     /// The ends that are not acknowledged yet, oldest first.
     pub ended: Vec<RunEnd>,
+    /// Whether there may be more ends than these. A run that is in neither list may then have ended.
+    pub has_more_ends: bool,
 }
--- a/crates/hg_policy/src/workflow/contention/contrasts/tests.rs
+++ b/crates/hg_policy/src/workflow/contention/contrasts/tests.rs
@@ -85,7 +85,8 @@
             let mut running = vec![listed("b", self.percent as u32, tail)];
             running.extend(beside.iter().map(|name| listed(name, 0, None)));
             let (incarnation, clock) = (Incarnation(1), ClockReading(self.clock));
-            let listing = RunListing { incarnation, clock, running, ended: Vec::new() };
+            let listing =
+                RunListing { incarnation, clock, running, ended: Vec::new(), has_more_ends: false };
             contrasts.extend(self.observer.record_listing(&self.ledger, &upstream(), &listing));
             self.clock += 200;
             self.percent += speed * 0.2;
--- a/crates/hg_policy/tests/host_speeds/world.rs
+++ b/crates/hg_policy/tests/host_speeds/world.rs
@@ -295,7 +295,7 @@
         let clock = ClockReading(self.now.0);
         for (name, running) in listings {
             let (incarnation, ended) = (Incarnation(1), Vec::new());
-            let listing = RunListing { incarnation, clock, running, ended };
+            let listing = RunListing { incarnation, clock, running, ended, has_more_ends: false };
             self.scheduler.record_listing(self.now, &self.ledger, &name, &listing);
         }
     }
--- a/crates/hg_policy/tests/workflow/contention_replay.rs
+++ b/crates/hg_policy/tests/workflow/contention_replay.rs
@@ -270,7 +270,8 @@
                 tasks.into_iter().filter(|task| self.runs[task].done >= 1.0).collect();
             running.retain(|listed| !ended.contains(&listed.task));
             let incarnation = Incarnation(1);
-            let listing = RunListing { incarnation, clock, running, ended: Vec::new() };
+            let listing =
+                RunListing { incarnation, clock, running, ended: Vec::new(), has_more_ends: false };
             let Harness { scheduler, ledger, now, .. } = &mut self.harness;
             scheduler.record_listing(*now, ledger, &name, &listing);
             for task in ended {
--- a/crates/hg_policy/tests/workflow/run_times.rs
+++ b/crates/hg_policy/tests/workflow/run_times.rs
@@ -213,6 +213,7 @@
             clock: ClockReading(harness.now.0),
             running: own.map(listed).collect(),
             ended: Vec::new(),
+            has_more_ends: false,
         };
         harness.scheduler.record_listing(harness.now, &harness.ledger, &upstream, &listing);
     }
--- a/crates/hg_policy/tests/workflow/starts_and_stops.rs
+++ b/crates/hg_policy/tests/workflow/starts_and_stops.rs
@@ -142,6 +142,7 @@
             clock: ClockReading(harness.now.0),
             running: vec![listed],
             ended: Vec::new(),
+            has_more_ends: false,
         };
         harness.scheduler.record_listing(harness.now, &harness.ledger, &run.upstream, &listing);
     }
--- a/crates/hg_policy/tests/workflow/upkeep_advice_pace.rs
+++ b/crates/hg_policy/tests/workflow/upkeep_advice_pace.rs
@@ -63,6 +63,7 @@
             clock: ClockReading(harness.now.0),
             running: listed.collect(),
             ended: Vec::new(),
+            has_more_ends: false,
         };
         changes.extend(harness.scheduler.record_listing(
             harness.now,
