--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -6,10 +6,11 @@
 use hg_ledger::{Command, WorkflowCommand, WorkflowEffect};
 use hg_model::{EndKind, Term, Time};
 use hg_policy::{
-    AccountShare, HostMove, RunStop, WorkflowBounds, WorkflowPolicies, WorkflowScheduler,
+    AccountShare, HostMove, RunStop, WaitingStep, WorkflowBounds, WorkflowPolicies,
+    WorkflowScheduler,
 };
 use hg_replica::Disk;
-use slog::{debug, info};
+use slog::{Logger, debug, info};
 
 use super::account_shares;
 use super::broken_gangs::BrokenGangs;
@@ -207,6 +208,7 @@
             leadership.sessions.stop_run(run);
         }
         account_shares::log_beyond(&self.log, &decisions.beyond_share);
+        log_waiting(&self.log, now, &decisions.waiting);
         self.actions
             .platform_calls
             .extend(leadership.platform_calls.request_advice(now, decisions.advice_request));
@@ -322,3 +324,16 @@
         }
     }
 }
+
+/// Writes one line for each step that has waited for long.
+fn log_waiting(log: &Logger, now: Time, waiting: &[WaitingStep]) {
+    for WaitingStep { step, pool, tasks, due, able, with_room, tickets } in waiting {
+        info!(log, "workflow: step waits"; "event" => "step.waiting", "step" => %step,
+            "pool" => %pool, "tasks" => tasks, "due_for_ms" => millis(now.since(*due)),
+            "able" => able, "with_room" => with_room, "tickets" => tickets);
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/hg_policy/src/lib.rs
+++ b/crates/hg_policy/src/lib.rs
@@ -47,6 +47,6 @@
     AccountShare, Admittance, AdviceRequest, BoundError, ContentionAvoided, ContentionFinding,
     ContentionReport, FleetObservations, ForecastRejection, HostMove, PaceChange, Rejection,
     RunStop, RunTimeSummary, SpeedChange, SpeedClass, StopReason, Submission, TicketCache,
-    UnknownPolicy, UpkeepOrder, WorkflowBounds, WorkflowDecisions, WorkflowPolicies,
+    UnknownPolicy, UpkeepOrder, WaitingStep, WorkflowBounds, WorkflowDecisions, WorkflowPolicies,
     WorkflowPolicy, WorkflowScheduler, admit, run_time_summaries,
 };
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -38,6 +38,7 @@
 //! * `admission_forecast` rejects jobs that could not start while they are of value, and tells their
 //!   callers when to return (load: more work than a pool can serve for a while); `pool_forecast`,
 //!   `capacity_profile`, `arrival_rates`, `forecast_error` and `retry_promises` are its parts.
+//! * `waiting_steps` reports what has waited for long (load: work that does not start although there seems to be room).
 //! * `admission` rejects jobs that can never run (load: jobs that no upstream can hold).
 //! * [`WorkflowPolicies`] names the optional policies that a deployment uses.
 //! * [`WorkflowScheduler`] combines them.
@@ -81,6 +82,7 @@
 mod standby;
 mod ticket_cache;
 mod usage_tracker;
+mod waiting_steps;
 mod wave_scheduler;
 
 pub use admission::{Rejection, admit};
@@ -97,4 +99,5 @@
 pub use standby::HostMove;
 pub use ticket_cache::{AdviceRequest, TicketCache};
 pub use usage_tracker::AccountShare;
+pub use waiting_steps::WaitingStep;
 pub use wave_scheduler::UpkeepOrder;
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -35,6 +35,7 @@
 use super::speed_tracker::{ExpectedRun, SpeedTracker};
 use super::standby::StandbyHosts;
 use super::usage_tracker::UsageTracker;
+use super::waiting_steps::{WaitingReports, WaitingStep};
 use super::wave_scheduler::WaveScheduler;
 use super::{
     AccountShare, Admittance, AdviceRequest, FleetObservations, ForecastRejection, HostMove,
@@ -103,6 +104,8 @@
     pub beyond_share: Vec<AccountShare>,
     /// What changed about contention between tasks.
     pub contention: ContentionReport,
+    /// Steps that have waited for long, from time to time.
+    pub waiting: Vec<WaitingStep>,
 }
 
 /// Decides which tasks start where and which runs are stopped.
@@ -128,6 +131,7 @@
     usage: UsageTracker,
     contention: ContentionTracker,
     admission: AdmissionForecast,
+    waiting_reports: WaitingReports,
 }
 
 /// Inputs and results of one decision round.
@@ -215,6 +219,7 @@
             usage: UsageTracker::default(),
             contention: ContentionTracker::default(),
             admission: AdmissionForecast::default(),
+            waiting_reports: WaitingReports::default(),
         }
     }
 
@@ -427,6 +432,7 @@
                 unplaced.push(step);
             }
         }
+        round.decisions.waiting = self.waiting_reports.report(now, &unplaced, &round.capacity);
         self.request_tickets(&ready, &unplaced, &mut round);
         let starting = round.decisions.starts.iter().map(|start| start.upstream.clone()).collect();
         self.forecast(&ready, &round);
