--- a/crates/hg_ledger/src/workflow/record.rs
+++ b/crates/hg_ledger/src/workflow/record.rs
@@ -9,6 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The settings of a queue at the time when it accepted a workflow.
+///
+/// Where the tasks run follows the catalog in force instead, as long as that has the queue.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueueTerms {
     /// The queue.
--- a/crates/hg_policy/src/workflow/capacity_map.rs
+++ b/crates/hg_policy/src/workflow/capacity_map.rs
@@ -246,7 +246,7 @@
     /// Records that some tasks of a step could not be placed.
     pub(crate) fn record_unplaced(&mut self, step: &ReadyStep<'_>) {
         if let Some(mixes) = &mut self.mixes {
-            mixes.record_unplaced(&step.job.terms.pool);
+            mixes.record_unplaced(step.pool);
         }
     }
 
--- a/crates/hg_policy/src/workflow/contention/host_mixes.rs
+++ b/crates/hg_policy/src/workflow/contention/host_mixes.rs
@@ -81,7 +81,7 @@
         });
         let slow_downs = slow_downs.collect();
         let needs_room = ready.iter().filter(|step| step.is_urgent() || step.spec.gang);
-        let pressed = needs_room.map(|step| step.job.terms.pool.clone()).collect();
+        let pressed = needs_room.map(|step| step.pool.clone()).collect();
         let hosts = vec![BTreeMap::new(); capacity.len()];
         let mut mixes = Self { classes, slow_downs, hosts, pressed };
         for row in runs.rows() {
@@ -164,7 +164,7 @@
     pub(crate) fn may_leave_best_fit(&self, capacity: &CapacityMap<'_>) -> bool {
         let (step, spec) = (self.step, self.step.spec);
         let is_bound = step.is_urgent() || spec.gang || spec.rack_local || spec.data_rack.is_some();
-        let pool = &step.job.terms.pool;
+        let pool = step.pool;
         if is_bound || self.mixes.pressed.contains(pool) {
             return false;
         }
--- a/crates/hg_policy/src/workflow/drain.rs
+++ b/crates/hg_policy/src/workflow/drain.rs
@@ -14,6 +14,7 @@
 use super::FleetObservations;
 use super::availability::may_disrupt;
 use super::capacity_map::CapacityMap;
+use super::queue_settings::QueueSettings;
 use super::run_table::{RunRow, RunTable};
 use super::speed_tracker::SpeedTracker;
 
@@ -40,6 +41,7 @@
 pub(crate) struct DrainContext<'a, 'b> {
     pub(crate) now: Time,
     pub(crate) ledger: &'a WorkflowLedger,
+    pub(crate) queues: &'b QueueSettings<'a>,
     pub(crate) fleet: &'b FleetObservations,
     pub(crate) runs: &'b RunTable<'a>,
     pub(crate) speeds: &'b SpeedTracker,
@@ -131,7 +133,7 @@
                 continue;
             }
             let is_due = if spec.long_running && spec.gang {
-                has_room_for_gang(row, spec, capacity)
+                has_room_for_gang(cx.queues, row, spec, capacity)
             } else if spec.long_running {
                 self.may_move(cx, row, spec, &chosen, capacity)
             } else {
@@ -174,7 +176,7 @@
         }
         let Some((job, _)) = row.work else { return false };
         let claim = spec.claim();
-        let able = capacity.able(&job.terms.pool, spec).into_iter();
+        let able = capacity.able(cx.queues.pool(job), spec).into_iter();
         let mut free = able.map(|position| capacity.at(position));
         let is_urgent = job.terms.priority == 0;
         let room = free.find(|candidate| {
@@ -192,10 +194,15 @@
 }
 
 /// Whether all members of a long-running gang fit elsewhere together. What its members elsewhere use counts as taken.
-fn has_room_for_gang(row: &RunRow<'_>, spec: &StepSpec, capacity: &CapacityMap<'_>) -> bool {
+fn has_room_for_gang<'a>(
+    queues: &QueueSettings<'a>,
+    row: &RunRow<'a>,
+    spec: &StepSpec,
+    capacity: &CapacityMap<'_>,
+) -> bool {
     let Some((job, _)) = row.work else { return false };
     let per_upstream_max = spec.per_upstream_max.unwrap_or(u32::MAX).min(spec.tasks);
-    let able = capacity.able(&job.terms.pool, spec).into_iter();
+    let able = capacity.able(queues.pool(job), spec).into_iter();
     let usable = able.map(|position| capacity.at(position)).filter(|candidate| {
         !candidate.is_cold && (!candidate.urgent_only || job.terms.priority == 0)
     });
--- a/crates/hg_policy/src/workflow/headroom.rs
+++ b/crates/hg_policy/src/workflow/headroom.rs
@@ -13,6 +13,7 @@
 
 use super::capacity_map::CapacityMap;
 use super::pool_speeds::PoolSpeeds;
+use super::queue_settings::QueueSettings;
 use super::run_table::RunTable;
 
 /// Older peaks do not count: waves of callers follow within seconds of each other.
@@ -31,14 +32,15 @@
 
 impl Headroom {
     /// Marks the upstreams that only urgent work may use in this round.
-    pub(crate) fn reserve(
+    pub(crate) fn reserve<'a>(
         &mut self,
         now: Time,
-        runs: &RunTable<'_>,
+        runs: &RunTable<'a>,
+        queues: &QueueSettings<'a>,
         capacity: &mut CapacityMap<'_>,
         in_effect: &BTreeMap<PoolName, PoolSpeeds>,
     ) {
-        let used = urgent_usage(runs);
+        let used = urgent_usage(runs, queues);
         self.record_usage(now, &used);
         for (pool, peak) in self.peaks() {
             let wanted = peak.saturating_sub(used.get(&pool).copied().unwrap_or(0));
@@ -70,11 +72,11 @@
     }
 }
 
-fn urgent_usage(runs: &RunTable<'_>) -> BTreeMap<PoolName, u64> {
+fn urgent_usage<'a>(runs: &RunTable<'a>, queues: &QueueSettings<'a>) -> BTreeMap<PoolName, u64> {
     let mut used: BTreeMap<&PoolName, u64> = BTreeMap::new();
     for row in runs.rows() {
         let Some((job, _)) = row.work.filter(|(job, _)| job.terms.priority == 0) else { continue };
-        *used.entry(&job.terms.pool).or_default() += row.open.claim.weight();
+        *used.entry(queues.pool(job)).or_default() += row.open.claim.weight();
     }
     used.into_iter().map(|(pool, weight)| (pool.clone(), weight)).collect()
 }
--- a/crates/hg_policy/src/workflow/mod.rs
+++ b/crates/hg_policy/src/workflow/mod.rs
@@ -4,6 +4,8 @@
 //! Each decision has a module of its own, without I/O and without a clock:
 //!
 //! * `ready_steps` lists the steps that may start and ranks them (load: more work than capacity).
+//! * `queue_settings` says in which pool accepted jobs run (load: queues that are moved to another pool while jobs
+//!   wait).
 //! * `guarantee` determines which urgent work is covered (load: one account floods the pool with
 //!   urgent work).
 //! * `fair_share` orders the steps of client accounts, and `usage_tracker` what each account used lately
@@ -69,6 +71,7 @@
 mod pool_forecast;
 mod pool_speeds;
 mod preemption;
+mod queue_settings;
 mod ready_steps;
 mod reservation;
 mod retry_promises;
--- a/crates/hg_policy/src/workflow/placement.rs
+++ b/crates/hg_policy/src/workflow/placement.rs
@@ -99,7 +99,7 @@
 
 /// The scopes to try for a step, best first.
 pub(crate) fn scopes(now: Time, step: &ReadyStep<'_>, capacity: &CapacityMap<'_>) -> Vec<Scope> {
-    let (pool, spec) = (&step.job.terms.pool, step.spec);
+    let (pool, spec) = (step.pool, step.spec);
     let mut scopes = Vec::new();
     if let Some(rack) = &spec.data_rack {
         let members = allowed(step, capacity, capacity.able_in_rack(rack, pool, spec));
--- a/crates/hg_policy/src/workflow/pool_forecast.rs
+++ b/crates/hg_policy/src/workflow/pool_forecast.rs
@@ -197,8 +197,8 @@
         }
     }
     // Steps that wait for the advice of another service may wait for that rather than for capacity.
-    for step in inputs.ready.iter().filter(|step| step.job.terms.advice.is_none()) {
-        if let Some(draft) = drafts.get_mut(&step.job.terms.pool) {
+    for step in inputs.ready.iter().filter(|step| step.advice.is_none()) {
+        if let Some(draft) = drafts.get_mut(step.pool) {
             draft.priorities.insert(step.job.terms.priority);
             draft.steps.push(step);
         }
--- a/crates/hg_policy/src/workflow/ready_steps.rs
+++ b/crates/hg_policy/src/workflow/ready_steps.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 
 use hg_ledger::{Occurrence, StepRecord, TaskState, Workflow, WorkflowLedger};
-use hg_model::{JobId, RunNumber, StepId, StepSpec, Time, UpstreamName};
+use hg_model::{AdviceTiming, JobId, PoolName, RunNumber, StepId, StepSpec, Time, UpstreamName};
 
+use super::queue_settings::QueueSettings;
 use super::run_times::{Chances, RunTimes};
 
 /// A job that takes longer than this multiple of its latency objective has no value any more.
@@ -76,6 +77,10 @@
     pub(crate) id: StepId,
     pub(crate) job: &'a Workflow,
     pub(crate) spec: &'a StepSpec,
+    /// The pool whose upstreams run its tasks.
+    pub(crate) pool: &'a PoolName,
+    /// Set if an external service decides which upstreams may run it.
+    pub(crate) advice: Option<AdviceTiming>,
     /// The state of its tasks; `None` if its occurrence has not started.
     pub(crate) record: Option<&'a StepRecord>,
     /// The indices of the tasks that may start; all of them if the step is a gang.
@@ -124,6 +129,7 @@
 pub(crate) fn ready_steps<'a>(
     now: Time,
     ledger: &'a WorkflowLedger,
+    queues: &QueueSettings<'a>,
     covered: &BTreeSet<JobId>,
     run_times: &RunTimes,
 ) -> Vec<ReadyStep<'a>> {
@@ -131,7 +137,7 @@
     for (id, job) in ledger.jobs() {
         if job.is_active() {
             let cx = RankContext { now, is_covered: covered.contains(id), run_times };
-            collect_ready(&cx, id, job, &mut ready);
+            collect_ready(&cx, queues, id, job, &mut ready);
         }
     }
     ready.sort_by(ReadyStep::order);
@@ -148,10 +154,12 @@
 
 fn collect_ready<'a>(
     cx: &RankContext<'_>,
+    queues: &QueueSettings<'a>,
     id: &JobId,
     job: &'a Workflow,
     ready: &mut Vec<ReadyStep<'a>>,
 ) {
+    let (pool, advice) = (queues.pool(job), queues.advice(job));
     let mut waiting_count = 0;
     for number in 0..job.spec.occurrences() {
         if waiting_count >= WAITING_MAX {
@@ -181,7 +189,19 @@
             waiting_count += waiting.len();
             let rank = *known_rank.get_or_insert_with(|| rank(cx, job, occurrence, due));
             let id = StepId { job: id.clone(), occurrence: number, step };
-            ready.push(ReadyStep { id, job, spec, record, waiting, rank, due, allowed: None });
+            let allowed = None;
+            ready.push(ReadyStep {
+                id,
+                job,
+                spec,
+                pool,
+                advice,
+                record,
+                waiting,
+                rank,
+                due,
+                allowed,
+            });
         }
     }
 }
--- a/crates/hg_policy/src/workflow/reservation.rs
+++ b/crates/hg_policy/src/workflow/reservation.rs
@@ -90,7 +90,7 @@
     speeds: &SpeedTracker,
     capacity: &mut CapacityMap<'_>,
 ) {
-    if !may_reserve(&step.job.terms.pool, capacity) {
+    if !may_reserve(step.pool, capacity) {
         return;
     }
     let scopes = scopes(drains.now, step, capacity).into_iter();
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -26,6 +26,7 @@
 use super::placement::place;
 use super::pool_forecast::ForecastInputs;
 use super::preemption::{PreemptionContext, PreemptionPlan, plan_preemption};
+use super::queue_settings::QueueSettings;
 use super::ready_steps::{ReadyStep, ready_steps};
 use super::reservation::{DrainTimes, reserve};
 use super::run_table::RunTable;
@@ -138,6 +139,7 @@
 struct Round<'a> {
     now: Time,
     ledger: &'a WorkflowLedger,
+    queues: QueueSettings<'a>,
     covered: BTreeSet<JobId>,
     runs: RunTable<'a>,
     drains: DrainTimes<'a>,
@@ -192,7 +194,7 @@
 
     /// The order of the tiers of lasting speed for a step; `None` where speeds are not in effect.
     fn tier_order(&self, now: Time, step: &ReadyStep<'_>) -> Option<TierOrder> {
-        let speeds = self.host_speeds.in_effect().get(&step.job.terms.pool)?;
+        let speeds = self.host_speeds.in_effect().get(step.pool)?;
         Some(TierOrder::new(now, step, speeds, self.host_speeds.estimates()))
     }
 }
@@ -404,9 +406,19 @@
         let decisions = WorkflowDecisions::default();
         let (runs, drains) = (RunTable::new(ledger), DrainTimes::new(now, ledger));
         let guard = CrashGuard::new(now, ledger, &fleet.silent);
-        let shares = None;
-        let mut round =
-            Round { now, ledger, covered, runs, drains, capacity, guard, shares, decisions };
+        let (queues, shares) = (QueueSettings::new(ledger), None);
+        let mut round = Round {
+            now,
+            ledger,
+            queues,
+            covered,
+            runs,
+            drains,
+            capacity,
+            guard,
+            shares,
+            decisions,
+        };
         self.decide_stops(&mut round, fleet);
         round.runs.record_stops(self.stopping.iter());
         let mut ready = self.ready(&round);
@@ -416,7 +428,8 @@
         self.holds.apply_to(&mut round.capacity);
         start_suspects(suspects, &mut ready, &mut round);
         let in_effect = self.host_speeds.in_effect();
-        self.headroom.reserve(now, &round.runs, &mut round.capacity, in_effect);
+        let Round { runs, queues, capacity, .. } = &mut round;
+        self.headroom.reserve(now, runs, queues, capacity, in_effect);
         self.drain(&mut round, fleet);
         self.judge_contention(&ready, &mut round);
         let mut unplaced = Vec::new();
@@ -460,9 +473,9 @@
 
     /// The steps that may start now, each with the upstreams that it is allowed on.
     fn ready<'a>(&self, round: &Round<'a>) -> Vec<ReadyStep<'a>> {
-        let mut ready =
-            ready_steps(round.now, round.ledger, &round.covered, &self.speeds.run_times);
-        for step in ready.iter_mut().filter(|step| step.job.terms.advice.is_some()) {
+        let Round { now, ledger, queues, covered, .. } = round;
+        let mut ready = ready_steps(*now, ledger, queues, covered, &self.speeds.run_times);
+        for step in ready.iter_mut().filter(|step| step.advice.is_some()) {
             step.allowed = Some(self.tickets.allowed(round.now, &step.id, &round.capacity));
         }
         ready
@@ -530,11 +543,11 @@
 
     /// Stops runs in drained data centres.
     fn drain(&mut self, round: &mut Round<'_>, fleet: &FleetObservations) {
-        let Round { now, ledger, runs, capacity, .. } = round;
+        let Round { now, ledger, queues, runs, capacity, .. } = round;
         let (speeds, stopping) = (&self.speeds, &self.stopping);
         let lead_time = self.bounds.stop_lead_time();
         let (now, ledger) = (*now, *ledger);
-        let cx = DrainContext { now, ledger, fleet, runs, speeds, stopping, lead_time };
+        let cx = DrainContext { now, ledger, queues, fleet, runs, speeds, stopping, lead_time };
         for run in self.drain_moves.stops(&cx, capacity) {
             self.stop(run, StopReason::Drained, round);
         }
--- a/crates/hg_policy/src/workflow/standby.rs
+++ b/crates/hg_policy/src/workflow/standby.rs
@@ -129,7 +129,7 @@
     for step in unplaced.iter().filter(|step| now >= step.due.after(BORROW_AFTER)) {
         let tasks = u64::try_from(step.waiting.len()).unwrap_or(u64::MAX);
         let weight = tasks.saturating_mul(step.spec.claim().weight());
-        *weights.entry(step.job.terms.pool.clone()).or_default() += weight;
+        *weights.entry(step.pool.clone()).or_default() += weight;
     }
     let per_host = |pool: &PoolName| {
         let hosts = ledger.upstreams().values().filter(|u| u.pool == *pool);
--- a/crates/hg_policy/src/workflow/ticket_cache.rs
+++ b/crates/hg_policy/src/workflow/ticket_cache.rs
@@ -86,14 +86,14 @@
         step: &ReadyStep<'_>,
         capacity: &CapacityMap<'_>,
     ) -> Option<AdviceRequest> {
-        let advice = step.job.terms.advice?;
+        let advice = step.advice?;
         let known = self.steps.get(&step.id);
         let may_ask = |candidate: &&Candidate<'_>| {
             let name = &candidate.report.name;
             let requested = known.and_then(|known| known.requested.get(name));
             let was_refused = requested == Some(&candidate.report.incarnation)
                 && !known.is_some_and(|known| known.tickets.contains_key(name));
-            candidate.can_run(&step.job.terms.pool, step.spec) && !was_refused
+            candidate.can_run(step.pool, step.spec) && !was_refused
         };
         let mut candidates: Vec<&Candidate<'_>> = capacity.candidates().filter(may_ask).collect();
         candidates.sort_by_key(|candidate| {
--- a/crates/hg_policy/src/workflow/waiting_steps.rs
+++ b/crates/hg_policy/src/workflow/waiting_steps.rs
@@ -64,7 +64,7 @@
 }
 
 fn waiting_step(step: &ReadyStep<'_>, capacity: &CapacityMap<'_>) -> WaitingStep {
-    let pool = &step.job.terms.pool;
+    let pool = step.pool;
     let claim = step.spec.claim();
     let able: Vec<&Candidate<'_>> =
         capacity.candidates().filter(|candidate| candidate.can_run(pool, step.spec)).collect();
--- a/crates/hg_policy/tests/workflow/main.rs
+++ b/crates/hg_policy/tests/workflow/main.rs
@@ -12,6 +12,7 @@
 mod extreme_requests;
 mod fair_shares;
 mod harness;
+mod queue_moves;
 mod replay;
 mod run_times;
 mod starts_and_stops;
