--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -84,12 +84,11 @@
         } else if !listing.has_more_ends
             && !ended.contains(&(task, run.run))
             && !run.is_loss_pending(now)
+            && on_unlisted(now, id, run)
         {
-            if on_unlisted(now, id, run) {
-                let is_stopped = run.stop == StopStage::Acknowledged;
-                let cause = if is_stopped { RunLossCause::Stopped } else { unlisted };
-                lost.push(RunLoss { run: run.lost(task, name), cause });
-            }
+            let is_stopped = run.stop == StopStage::Acknowledged;
+            let cause = if is_stopped { RunLossCause::Stopped } else { unlisted };
+            lost.push(RunLoss { run: run.lost(task, name), cause });
         }
     }
     work.record_losses(now, lost);
