--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -190,6 +190,7 @@
         fleet.cold = leadership.sessions.cold(now, ledger);
         fleet.hosts = leadership.platform_calls.hosts.clone();
         fleet.moving = leadership.platform_calls.moving();
+        fleet.is_advice_busy = leadership.platform_calls.is_advice_busy(now);
         let started = Instant::now();
         let decisions = leadership.scheduler.decide(now, ledger, &fleet);
         telemetry::record_round(started.elapsed());
@@ -209,9 +210,11 @@
         }
         account_shares::log_beyond(&self.log, &decisions.beyond_share);
         log_waiting(&self.log, now, &decisions.waiting);
-        self.actions
-            .platform_calls
-            .extend(leadership.platform_calls.request_advice(now, decisions.advice_request));
+        if let Some(request) = decisions.advice_request {
+            leadership.scheduler.record_advice_request(now, &request);
+            let call = leadership.platform_calls.request_advice(now, request);
+            self.actions.platform_calls.push(call);
+        }
         for HostMove { host, pool } in &decisions.moves {
             info!(self.log, "workflow: moving host"; "event" => "host.move", "host" => %host,
                 "pool" => %pool);
--- a/crates/hg_control/src/workflow/platform_calls.rs
+++ b/crates/hg_control/src/workflow/platform_calls.rs
@@ -117,19 +117,16 @@
         self.moves.extend(moves.into_iter().map(|HostMove { host, pool }| (host, pool)));
     }
 
-    /// Returns the call for an advice request, unless one is in flight: the service answers one at a time.
-    pub(crate) fn request_advice(
-        &mut self,
-        now: Time,
-        request: Option<AdviceRequest>,
-    ) -> Option<PlatformCall> {
-        let is_request_pending = self.advice_sent_at.is_some_and(|at| now < at.after(CALL_TIMEOUT));
-        if is_request_pending || now < self.advice_retry_at {
-            return None;
-        }
-        let request = request?;
+    /// Whether no advice can be requested now: the service answers one request at a time, or has failed lately.
+    pub(crate) fn is_advice_busy(&self, now: Time) -> bool {
+        let is_pending = self.advice_sent_at.is_some_and(|at| now < at.after(CALL_TIMEOUT));
+        is_pending || now < self.advice_retry_at
+    }
+
+    /// Records that advice is requested, and returns the call.
+    pub(crate) fn request_advice(&mut self, now: Time, request: AdviceRequest) -> PlatformCall {
         self.advice_sent_at = Some(now);
-        Some(PlatformCall::RequestAdvice(request))
+        PlatformCall::RequestAdvice(request)
     }
 
     /// Records that the advice request was answered or failed. Returns when it was sent.
--- a/crates/hg_policy/src/workflow/fleet_observations.rs
+++ b/crates/hg_policy/src/workflow/fleet_observations.rs
@@ -21,6 +21,8 @@
     pub drained: BTreeMap<DataCentreName, Time>,
     /// Cold upstreams in data centres whose drain has ended.
     pub cold: BTreeSet<UpstreamName>,
+    /// Whether the service that decides where steps may run takes no request now.
+    pub is_advice_busy: bool,
 }
 
 impl FleetObservations {
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -351,6 +351,11 @@
         self.paces.forget(task);
     }
 
+    /// Records that a request is being made to the service that decides where steps may run.
+    pub fn record_advice_request(&mut self, now: Time, request: &AdviceRequest) {
+        self.tickets.record_request(now, request);
+    }
+
     /// Records the answer of the service that decides where steps may run: the allowed upstreams
     /// with their tickets, valid up to `until`.
     pub fn record_advice(
@@ -446,7 +451,7 @@
             }
         }
         round.decisions.waiting = self.waiting_reports.report(now, &unplaced, &round.capacity);
-        self.request_tickets(&ready, &unplaced, &mut round);
+        self.request_tickets(&ready, &unplaced, fleet.is_advice_busy, &mut round);
         let starting = round.decisions.starts.iter().map(|start| start.upstream.clone()).collect();
         self.forecast(&ready, &round);
         round.decisions.moves = self.standby.round(now, ledger, fleet, &unplaced, &starting);
@@ -503,17 +508,20 @@
         }
     }
 
+    /// Chooses the next request to the service that decides where steps may run, unless that is busy.
     fn request_tickets(
         &mut self,
         ready: &[ReadyStep<'_>],
         unplaced: &[&ReadyStep<'_>],
+        is_busy: bool,
         round: &mut Round<'_>,
     ) {
         let open: BTreeSet<&StepId> = ready.iter().map(|step| &step.id).collect();
         self.tickets.retain_steps(|step| open.contains(step));
-        let mut requests =
-            unplaced.iter().filter_map(|step| self.tickets.next_request(step, &round.capacity));
-        round.decisions.advice_request = requests.next();
+        if !is_busy {
+            let request = self.tickets.next_request(round.now, unplaced, &round.capacity);
+            round.decisions.advice_request = request;
+        }
     }
 
     /// Stops runs that are no longer needed, that would end sooner elsewhere, or that have to leave
--- a/crates/hg_policy/tests/workflow/main.rs
+++ b/crates/hg_policy/tests/workflow/main.rs
@@ -4,6 +4,7 @@
 mod admission_replay;
 mod admission_rules;
 mod admission_world;
+mod advice_turns;
 mod capacity_changes;
 mod contention;
 mod contention_replay;
