One odd entry in a list no longer hides the others

Change: each row is decoded by itself from undecoded text. What a missing row would prove is not concluded beside an unreadable one.

--- a/crates/hg_control/src/lib.rs
+++ b/crates/hg_control/src/lib.rs
@@ -45,6 +45,7 @@
 pub use run::{ControlParts, ControlProcess, files_limit, run, run_found};
 pub use snapshot::{decode_ledger, encode_ledger};
 pub use workflow::{
-    Advice, HostOrder, HostOrderKind, HostOrderResult, Order, OrderId, OrderKind, OrderReport,
-    OrderResult, PlatformCall, PlatformCallReport, PlatformDriver, StartRefusal, UpstreamDriver,
+    Advice, HostListing, HostOrder, HostOrderKind, HostOrderResult, Order, OrderId, OrderKind,
+    OrderReport, OrderResult, PlatformCall, PlatformCallReport, PlatformDriver, StartRefusal,
+    UpstreamDriver,
 };
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -35,8 +35,8 @@
     Order, OrderId, OrderKind, OrderReport, OrderResult, StartRefusal, UpstreamDriver,
 };
 pub use platform_call::{
-    Advice, HostOrder, HostOrderKind, HostOrderResult, PlatformCall, PlatformCallReport,
-    PlatformDriver,
+    Advice, HostListing, HostOrder, HostOrderKind, HostOrderResult, PlatformCall,
+    PlatformCallReport, PlatformDriver,
 };
 
 pub(crate) use account_shares::ShareGauges;
--- a/crates/hg_control/src/workflow/platform_call.rs
+++ b/crates/hg_control/src/workflow/platform_call.rs
@@ -59,13 +59,22 @@
     pub valid_ms: u64,
 }
 
+/// The list of hosts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HostListing {
+    /// The hosts whose entries can be read.
+    pub hosts: Vec<HostReport>,
+    /// Why other entries cannot be read. As long as there are any, a host that is not listed may be among them.
+    pub unreadable: Vec<String>,
+}
+
 /// A finished call with its result.
 #[derive(Debug, Clone)]
 pub enum PlatformCallReport {
     /// An order about a host.
     Host(HostOrder, HostOrderResult),
     /// The list of hosts, or why it could not be read.
-    Hosts(Result<Vec<HostReport>, String>),
+    Hosts(Result<HostListing, String>),
     /// An advice request, with the answer or the reason why there is none.
     Advice(AdviceRequest, Result<Advice, String>),
 }
--- a/crates/hg_control/src/workflow/platform_calls.rs
+++ b/crates/hg_control/src/workflow/platform_calls.rs
@@ -7,7 +7,10 @@
 use hg_model::{HostName, HostReport, HostState, PoolName, Term, Time, WaveNumber};
 use hg_policy::{AdviceRequest, HostMove, UpkeepOrder};
 
-use super::{HostOrder, HostOrderKind, HostOrderResult, PlatformCall};
+use super::{HostListing, HostOrder, HostOrderKind, HostOrderResult, PlatformCall};
+
+#[cfg(test)]
+mod tests;
 
 /// How often the hosts are listed while a wave runs or the catalog has a standby pool.
 const LIST_EVERY: Duration = Duration::from_millis(2_000);
@@ -145,18 +148,21 @@
     pub(crate) fn record_hosts(
         &mut self,
         now: Time,
-        listed: Result<Vec<HostReport>, String>,
+        listed: Result<HostListing, String>,
         ledger: &WorkflowLedger,
     ) -> Vec<WorkflowCommand> {
         let requested_at = self.listing_sent_at.take().unwrap_or(now);
         self.listed_at = Some(now);
-        let Ok(listed) = listed else { return Vec::new() };
-        self.hosts = listed.into_iter().map(|host| (host.name.clone(), host)).collect();
+        let Ok(HostListing { hosts, unreadable }) = listed else { return Vec::new() };
+        self.hosts = hosts.into_iter().map(|host| (host.name.clone(), host)).collect();
+        let is_complete = unreadable.is_empty();
         let mut commands = Vec::new();
         for wave in ledger.waves().running() {
             for (host, stage) in &wave.hosts {
                 let was_ordered = self.last_orders.get(host).is_some_and(|at| *at >= requested_at);
-                let stage = if was_ordered { None } else { self.next_stage(host, *stage) };
+                let is_known = is_complete || self.hosts.contains_key(host);
+                let stage =
+                    if was_ordered || !is_known { None } else { self.next_stage(host, *stage) };
                 let wave = wave.spec.number;
                 let host = host.clone();
                 commands.extend(stage.map(|stage| WorkflowCommand::Upkeep { wave, host, stage }));
--- /dev/null
+++ b/crates/hg_control/src/workflow/platform_calls/tests.rs
@@ -0,0 +1,77 @@
+//! What the leader concludes from lists of hosts.
+
+use std::collections::BTreeSet;
+
+use hg_ledger::{UpkeepStage, WorkflowCommand, WorkflowLedger};
+use hg_model::{HostName, HostReport, HostState, PoolName, Term, Time, WaveNumber, WaveSpec};
+
+use super::{HostListing, LIST_EVERY, PlatformCalls};
+
+const WAVE: WaveNumber = WaveNumber(1);
+
+fn host(number: u32) -> HostName {
+    HostName::new(format!("m-{number}")).expect("a valid name")
+}
+
+fn report(number: u32, state: HostState) -> HostReport {
+    let pool = PoolName::new("pool").expect("a valid name");
+    HostReport { name: host(number), pool, state, upstream: None }
+}
+
+/// A wave of the hosts 1 and 2, both ordered to go down.
+fn with_wave() -> (PlatformCalls, WorkflowLedger) {
+    let mut ledger = WorkflowLedger::default();
+    let hosts: BTreeSet<HostName> = [host(1), host(2)].into();
+    let spec = WaveSpec { number: WAVE, hosts, deadline_ms: 40_000, down_max: 2 };
+    ledger.apply(WorkflowCommand::StartWave { spec, at: Time(0) });
+    for number in [1, 2] {
+        let (host, stage) = (host(number), UpkeepStage::Ordered);
+        ledger.apply(WorkflowCommand::Upkeep { wave: WAVE, host, stage });
+    }
+    (PlatformCalls::new(Time(0), Term(1)), ledger)
+}
+
+/// The stages that a list of hosts changes.
+fn stages(
+    calls: &mut PlatformCalls,
+    ledger: &WorkflowLedger,
+    now: Time,
+    listing: HostListing,
+) -> Vec<(HostName, UpkeepStage)> {
+    let commands = calls.record_hosts(now, Ok(listing), ledger);
+    let stage = |command| match command {
+        WorkflowCommand::Upkeep { host, stage, .. } => (host, stage),
+        other => panic!("unexpected: {other:?}"),
+    };
+    commands.into_iter().map(stage).collect()
+}
+
+/// Guards against a wave that is not followed any more, or that is completed without a host, since the entry of a host
+/// cannot be read.
+#[test]
+fn record_hosts_beside_an_unreadable_entry() {
+    let (mut calls, ledger) = with_wave();
+    let unreadable = vec!["State has an unknown value".to_owned()];
+    let hosts = vec![report(1, HostState::Upkeep)];
+    let listing = HostListing { hosts, unreadable };
+    let begun = vec![(host(1), UpkeepStage::Begun)];
+    for round in 1..4 {
+        let now = Time(0).after(LIST_EVERY * round);
+        assert_eq!(stages(&mut calls, &ledger, now, listing.clone()), begun);
+    }
+}
+
+/// A host that is not listed any more leaves its wave.
+#[test]
+fn record_hosts_without_a_host() {
+    let (mut calls, ledger) = with_wave();
+    let hosts = vec![report(1, HostState::Up)];
+    let listing = HostListing { hosts, unreadable: Vec::new() };
+    let mut found = Vec::new();
+    for round in 1..4 {
+        let now = Time(0).after(LIST_EVERY * round);
+        found.extend(stages(&mut calls, &ledger, now, listing.clone()));
+    }
+    assert!(found.contains(&(host(2), UpkeepStage::Gone)), "{found:?}");
+    assert!(!found.iter().any(|(found, _)| *found == host(1)), "{found:?}");
+}
--- a/crates/hg_control/src/workflow/platform_reports.rs
+++ b/crates/hg_control/src/workflow/platform_reports.rs
@@ -33,9 +33,17 @@
                 }
             }
             PlatformCallReport::Hosts(listed) => {
-                if let Err(cause) = &listed {
-                    warn!(self.log, "workflow: hosts not listed"; "event" => "hosts.unlisted",
-                        "cause" => cause);
+                match &listed {
+                    Err(cause) => {
+                        warn!(self.log, "workflow: hosts not listed"; "event" => "hosts.unlisted",
+                            "cause" => cause);
+                    }
+                    Ok(listing) if !listing.unreadable.is_empty() => {
+                        warn!(self.log, "workflow: entries of the list of hosts are unreadable";
+                            "event" => "hosts.unreadable", "entries" => listing.unreadable.len(),
+                            "read" => listing.hosts.len(), "first" => &listing.unreadable[0]);
+                    }
+                    Ok(_) => {}
                 }
                 commands = leadership.platform_calls.record_hosts(now, listed, ledger);
                 down = hosts_in_upkeep(&commands);
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -354,6 +354,20 @@
     }
 }
 
+/// Guards against sums that overflow, which would end each control host that leads, one after the other.
+#[test]
+fn heartbeat_with_the_largest_capacity_ends_no_leader() {
+    let mut world = World::new(1, Faults::default());
+    for number in 0..6 {
+        world.set_capacity(number, ResourceVector::new(u32::MAX, u32::MAX, u32::MAX));
+    }
+    for number in 0..JOBS {
+        world.submit(number);
+        world.run(500);
+    }
+    settle(world);
+}
+
 /// Guards against learned run times that break what the world checks.
 #[test]
 fn workflows_end_with_learned_run_times_despite_faults() {
