A core that ends while it handles a request leaves the outcome unknown

Seen by the review by reading, and part of the report on full disks: when the core's thread ended with its disk, requests that it had already taken were answered as busy, which entries pass on as "not run". The command may be in the logs of other replicas, and a successor may commit it: a job that its caller was told is not accepted would run.

Change: the reply is Unsure; what the core has not taken stays Busy. Test: request_when_the_core_ends_after_taking_it was Busy before.

--- a/crates/hg_control/src/core_loop.rs
+++ b/crates/hg_control/src/core_loop.rs
@@ -16,6 +16,9 @@
 use crate::workflow::{ShareGauges, set_gauges};
 use crate::{Actions, Clock, Core, Event, OrderReport, PlatformCallReport, Ticket};
 
+#[cfg(test)]
+mod tests;
+
 /// The longest time between two steps of the core.
 const TICK: Duration = Duration::from_millis(20);
 /// The maximum number of queued inputs of each kind that one step takes, beside messages of replicas; their writes
@@ -53,12 +56,14 @@
         self.queue.push(Instant::now(), input)
     }
 
-    /// Sends a request to the core and waits for its reply; `Busy` if the core has too much to do.
+    /// Sends a request to the core and waits for its reply; `Busy` if the core has too much to do, `Unsure` if it ended
+    /// while it handled the request.
     pub async fn request(&self, req: Request) -> Reply {
         let (tx, rx) = oneshot::channel();
         // A request that is not queued is answered at once.
         self.send(Input::Request(req, tx));
-        rx.await.unwrap_or(Reply::Busy)
+        // What the core had taken may be in the logs of other replicas, and a later leader may commit it.
+        rx.await.unwrap_or(Reply::Unsure)
     }
 }
 
