A torn log is repaired without room for a copy of it

A disk that fills tears the record that is being appended; at the next start the whole file was written anew, which fails while the disk is full, and for good where the log takes more than half of it.

Change: the torn tail is cut off in place.

--- a/crates/hg_control/src/file_disk.rs
+++ b/crates/hg_control/src/file_disk.rs
@@ -101,6 +101,12 @@
         Ok(())
     }
 
+    fn truncate(&mut self, length: usize) -> io::Result<()> {
+        let f = OpenOptions::new().write(true).open(&self.file)?;
+        f.set_len(u64::try_from(length).map_err(io::Error::other)?)?;
+        f.sync_all()
+    }
+
     fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
         let (mut f, folder) = match self.reserve.take() {
             Some(reserve) => reserve,
--- a/crates/hg_control/tests/workflow_world/memory_disk.rs
+++ b/crates/hg_control/tests/workflow_world/memory_disk.rs
@@ -31,6 +31,11 @@
         Ok(())
     }
 
+    fn truncate(&mut self, length: usize) -> io::Result<()> {
+        self.with(|bytes| bytes.get_or_insert_default().truncate(length));
+        Ok(())
+    }
+
     fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.with(|old| *old = Some(bytes.to_vec()));
         Ok(())
--- a/crates/hg_replica/src/storage.rs
+++ b/crates/hg_replica/src/storage.rs
@@ -30,6 +30,13 @@
     /// The I/O error; the file must not be used afterwards.
     fn sync(&mut self) -> io::Result<()>;
 
+    /// Cuts the file off after `length` bytes, durably. Needs no room on the disk.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error; the file must not be used afterwards.
+    fn truncate(&mut self, length: usize) -> io::Result<()>;
+
     /// Replaces the whole file atomically and durably.
     ///
     /// # Errors
@@ -115,11 +122,11 @@
         let decoded = wal::decode(&bytes).map_err(|source| StorageError::Damaged { source })?;
         let torn = decoded.complete_bytes < bytes.len();
         let Some(state) = replay(decoded.records)? else { return Ok(None) };
-        let mut storage = Self { disk, state, unsynced: false };
         if torn {
-            storage.rewrite()?;
+            // What a full disk has torn must not need room to be repaired.
+            disk.truncate(decoded.complete_bytes).map_err(disk_error("truncate"))?;
         }
-        Ok(Some(storage))
+        Ok(Some(Self { disk, state, unsynced: false }))
     }
 
     /// The state that the disk holds.
--- a/crates/hg_replica/tests/agreement_fuzz.rs
+++ b/crates/hg_replica/tests/agreement_fuzz.rs
@@ -3,6 +3,7 @@
 //! CI runs fixed seeds. `HG_FUZZ_SECONDS` sets the duration of a longer run. To replay a failure,
 //! set `HG_FUZZ_SEED` to the seed that it printed.
 
+mod full_disks;
 mod leader_changes;
 mod support;
 
--- a/crates/hg_replica/tests/support/disk.rs
+++ b/crates/hg_replica/tests/support/disk.rs
@@ -13,6 +13,8 @@
     pub synced: Option<Vec<u8>>,
     /// The bytes appended since the last sync.
     pub unsynced: Vec<u8>,
+    /// Whether it has no room for more bytes.
+    pub is_full: bool,
 }
 
 /// A shared handle to a disk, with which the world can damage it while its replica is down.
@@ -29,9 +31,16 @@
         }
     }
 
+    /// Makes the disk refuse all further bytes, or take them again.
+    pub fn set_full(&self, is_full: bool) {
+        self.0.borrow_mut().is_full = is_full;
+    }
+
     /// Erases the disk.
     pub fn wipe(&self) {
-        *self.0.borrow_mut() = Content::default();
+        let mut content = self.0.borrow_mut();
+        let is_full = content.is_full;
+        *content = Content { is_full, ..Content::default() };
     }
 
     /// Flips a bit of the byte at `at`, modulo the file's length; returns whether there was a byte
@@ -55,7 +64,13 @@
     }
 
     fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.0.borrow_mut().unsynced.extend_from_slice(bytes);
+        let mut content = self.0.borrow_mut();
+        if content.is_full {
+            // The last free bytes are written.
+            content.unsynced.extend_from_slice(&bytes[..bytes.len() / 2]);
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        content.unsynced.extend_from_slice(bytes);
         Ok(())
     }
 
@@ -66,8 +81,17 @@
         Ok(())
     }
 
+    fn truncate(&mut self, length: usize) -> io::Result<()> {
+        self.0.borrow_mut().synced.get_or_insert_default().truncate(length);
+        Ok(())
+    }
+
     fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
-        *self.0.borrow_mut() = Content { synced: Some(bytes.to_vec()), unsynced: Vec::new() };
+        let mut content = self.0.borrow_mut();
+        if content.is_full {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        (content.synced, content.unsynced) = (Some(bytes.to_vec()), Vec::new());
         Ok(())
     }
 }
--- a/crates/hg_replica/tests/support/world.rs
+++ b/crates/hg_replica/tests/support/world.rs
@@ -62,6 +62,8 @@
     is_mostly_ordered: bool,
     /// The number of steps taken, to report the steps per second.
     pub steps: u64,
+    /// How often a process ended since its disk was full.
+    pub disk_failures: u64,
 }
 
 /// Counts of what a run did, to check that it made progress.
@@ -99,6 +101,7 @@
             timing: Timing::default(),
             is_mostly_ordered: false,
             steps: 0,
+            disk_failures: 0,
         };
         for n in 0..count {
             let host = &world.hosts[n];
@@ -229,6 +232,7 @@
         let storage = match Storage::open(disk.clone()) {
             Ok(Some(storage)) => storage,
             Ok(None) => self.new_incarnation(n),
+            Err(_) if disk.0.borrow().is_full => return,
             Err(error) => {
                 assert!(error.is_damaged(), "the log is corrupted, without an I/O error: {error}");
                 let old = self.hosts[n].id.clone();
@@ -262,6 +266,39 @@
             .expect("the disk does not fail")
     }
 
+    /// Fills a host's disk, or frees it.
+    pub fn set_disk_full(&mut self, n: usize, is_full: bool) {
+        self.hosts[n].disk.set_full(is_full);
+    }
+
+    /// Whether a host's process is running.
+    pub fn is_running(&self, n: usize) -> bool {
+        self.hosts[n].process.is_some()
+    }
+
+    /// Proposes a command at the leader, if there is one, and waits until it is applied everywhere. Returns whether that
+    /// happens within `limit`.
+    pub fn commits_within(&mut self, limit: Duration) -> bool {
+        let deadline = self.now.after(limit);
+        let command = self.next_command;
+        let expected = command.to_le_bytes().to_vec();
+        while self.now < deadline {
+            self.pass_time(Duration::from_millis(10));
+            if let Some(leader) = self.leader_host() {
+                self.next_command = command;
+                self.propose(leader);
+            }
+            self.deliver_all();
+            self.check();
+            let has_applied = |p: &Process| p.commands.contains(&expected);
+            if self.hosts.iter().all(|host| host.process.as_ref().is_some_and(has_applied)) {
+                self.next_command = command + 1;
+                return true;
+            }
+        }
+        false
+    }
+
     pub fn kill(&mut self, n: usize, kept: usize) {
         self.hosts[n].process = None;
         self.hosts[n].disk.crash(kept);
@@ -472,7 +509,12 @@
                 break;
             }
             let Output { writes, messages, installed_snapshot, committed } = out;
-            process.storage.write(&writes).expect("the disk does not fail");
+            if process.storage.write(&writes).is_err() {
+                // The process ends; its file stays as it was written.
+                self.disk_failures += 1;
+                self.kill(n, usize::MAX);
+                return;
+            }
             for message in messages {
                 self.oracle.check_sender(&message.from);
                 if self.messages.len() < MESSAGES_MAX {
