A host leaves its wave only when two lists in a row leave it out

The list of hosts is read in pages; when a host of an earlier page is removed meanwhile, a later page may begin one entry further on, and the host that falls between counted as gone. Its wave could be completed without its upkeep.

--- a/crates/hg_control/src/workflow/platform_calls.rs
+++ b/crates/hg_control/src/workflow/platform_calls.rs
@@ -31,6 +31,8 @@
     /// treats alternating orders of two holders as a fault.
     first_order_at: Time,
     pub(crate) hosts: BTreeMap<HostName, HostReport>,
+    /// The hosts of running waves that the last list left out.
+    absent: BTreeSet<HostName>,
     listed_at: Option<Time>,
     listing_sent_at: Option<Time>,
     advice_sent_at: Option<Time>,
@@ -47,6 +49,7 @@
             term,
             first_order_at,
             hosts: BTreeMap::new(),
+            absent: BTreeSet::new(),
             listed_at: None,
             listing_sent_at: None,
             advice_sent_at: None,
@@ -155,14 +158,19 @@
         self.listed_at = Some(now);
         let Ok(HostListing { hosts, unreadable }) = listed else { return Vec::new() };
         self.hosts = hosts.into_iter().map(|host| (host.name.clone(), host)).collect();
-        let is_complete = unreadable.is_empty();
+        let of_waves = ledger.waves().running().flat_map(|wave| wave.hosts.keys());
+        let absent: BTreeSet<HostName> =
+            of_waves.filter(|host| !self.hosts.contains_key(*host)).cloned().collect();
+        let absent_before = std::mem::replace(&mut self.absent, absent);
+        // The list is read in pages, and one that changes meanwhile may leave a host out.
+        let is_gone = |host: &HostName| unreadable.is_empty() && absent_before.contains(host);
         let mut commands = Vec::new();
         for wave in ledger.waves().running() {
             for (host, stage) in &wave.hosts {
                 let was_ordered = self.last_orders.get(host).is_some_and(|at| *at >= requested_at);
-                let is_known = is_complete || self.hosts.contains_key(host);
+                let is_settled = self.hosts.contains_key(host) || is_gone(host);
                 let stage =
-                    if was_ordered || !is_known { None } else { self.next_stage(host, *stage) };
+                    if was_ordered || !is_settled { None } else { self.next_stage(host, *stage) };
                 let wave = wave.spec.number;
                 let host = host.clone();
                 commands.extend(stage.map(|stage| WorkflowCommand::Upkeep { wave, host, stage }));
--- a/crates/hg_control/src/workflow/platform_calls/tests.rs
+++ b/crates/hg_control/src/workflow/platform_calls/tests.rs
@@ -61,6 +61,20 @@
     }
 }
 
+/// Guards against a wave that is completed without a host which stays: the list is read in pages, and when a host of an
+/// earlier page is removed meanwhile, the next page begins one entry later.
+#[test]
+fn record_hosts_that_one_list_leaves_out() {
+    let (mut calls, ledger) = with_wave();
+    let first = HostListing { hosts: vec![report(1, HostState::Up)], unreadable: Vec::new() };
+    let both = vec![report(1, HostState::Up), report(2, HostState::Up)];
+    let both = HostListing { hosts: both, unreadable: Vec::new() };
+    for (round, listing) in (1..).zip([&first, &both, &first, &both]) {
+        let now = Time(0).after(LIST_EVERY * round);
+        assert_eq!(stages(&mut calls, &ledger, now, listing.clone()), []);
+    }
+}
+
 /// A host that is not listed any more leaves its wave.
 #[test]
 fn record_hosts_without_a_host() {
