--- a/crates/hg_control/src/core_loop/tests.rs
+++ b/crates/hg_control/src/core_loop/tests.rs
@@ -1,4 +1,4 @@
-//! What requesters are told when the core ends.
+//! Replies to requests that are under way or wait when the core ends.
 
 use std::sync::Arc;
 use std::time::Duration;
