--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 //! 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 
 mod cut;
+mod flaky;
 mod http;
 mod json;
 mod outage;
@@ -33,6 +34,7 @@
     };
     record.line(format!("case {case}, {} the disruption", if has_trouble { "with" } else { "without" }));
     let result = match case.as_str() {
+        "flaky" => flaky::run(has_trouble, &record),
         "outage" => outage::run(has_trouble, &record),
         "stale" => stale::run(has_trouble, &record),
         "upkeep" => upkeep::run(has_trouble, &record),
