--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod json;
 mod outage;
+mod overdue;
 mod platform;
 mod record;
 mod runs;
@@ -35,6 +36,7 @@
     record.line(format!("case {case}, {} the disruption", if has_trouble { "with" } else { "without" }));
     let result = match case.as_str() {
         "flaky" => flaky::run(has_trouble, &record),
+        "overdue" => overdue::run(has_trouble, &record),
         "outage" => outage::run(has_trouble, &record),
         "stale" => stale::run(has_trouble, &record),
         "upkeep" => upkeep::run(has_trouble, &record),
