--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -1,11 +1,14 @@
 //! HTTP/1.1 for the stand-ins: a server with one thread a connection, and a client with one connection a call.
 
 use std::io::{self, BufRead as _, BufReader, Read as _, Write as _};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
+/// How often a server looks for connections.
+const POLL: Duration = Duration::from_millis(1);
+
 /// A request as a server reads it.
 #[derive(Debug)]
 pub struct Request {
@@ -31,9 +34,44 @@
 
 /// Serves an address until the process ends.
 pub fn serve(address: SocketAddr, handler: Handler) -> io::Result<()> {
-    let listener = TcpListener::bind(address)?;
+    serve_while(address, handler, Arc::new(|| true))
+}
+
+/// Serves an address while `is_up` holds. Otherwise nothing listens there, and all connections are closed.
+pub fn serve_while(
+    address: SocketAddr,
+    handler: Handler,
+    is_up: Arc<dyn Fn() -> bool + Send + Sync>,
+) -> io::Result<()> {
+    let mut listener = Some(TcpListener::bind(address)?);
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        let mut connections: Vec<TcpStream> = Vec::new();
+        loop {
+            if !is_up() {
+                listener = None;
+                for connection in connections.drain(..) {
+                    // It may have been closed by the other side.
+                    let _ = connection.shutdown(Shutdown::Both);
+                }
+                thread::sleep(POLL);
+                continue;
+            }
+            let Some(open) = &listener else {
+                listener = TcpListener::bind(address).ok();
+                thread::sleep(POLL);
+                continue;
+            };
+            if open.set_nonblocking(true).is_err() {
+                return;
+            }
+            let Ok((stream, _)) = open.accept() else {
+                thread::sleep(POLL);
+                continue;
+            };
+            if stream.set_nonblocking(false).is_err() {
+                continue;
+            }
+            connections.extend(stream.try_clone());
             let handler = Arc::clone(&handler);
             thread::spawn(move || serve_connection(stream, &handler));
         }
@@ -46,7 +84,9 @@
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader)? {
-        let Some((status, body)) = handler(&request) else { return Ok(()) };
+        let Some((status, body)) = handler(&request) else {
+            return writer.shutdown(Shutdown::Both);
+        };
         write!(
             writer,
             "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 
 mod cut;
 mod flaky;
+mod foreign;
 mod http;
 mod json;
 mod outage;
@@ -37,6 +38,7 @@
     let result = match case.as_str() {
         "flaky" => flaky::run(has_trouble, &record),
         "overdue" => overdue::run(has_trouble, &record),
+        "foreign" => foreign::run(has_trouble, &record),
         "outage" => outage::run(has_trouble, &record),
         "stale" => stale::run(has_trouble, &record),
         "upkeep" => upkeep::run(has_trouble, &record),
--- a/review/standin-2/overdue.rs
+++ b/review/standin-2/overdue.rs
@@ -10,9 +10,11 @@
 
 const WORKERS: u8 = 8;
 /// How many jobs come, each once a minute for a week: as many times as the system accepts.
-const JOBS: usize = 60;
+const JOBS: usize = 80;
 const TIMES: u64 = 10_000;
 const PERIOD_MS: u64 = 60_000;
+/// For how long they are handed in; the later ones may find no leader any more.
+const HAND_IN_FOR: Duration = Duration::from_secs(10);
 /// Of this many times the due time lies back without the disruption.
 const FEW_TIMES: u64 = 3;
 const WORK_MS: u64 = 1_000;
@@ -20,8 +22,6 @@
 const FINISH: Duration = Duration::from_secs(14);
 /// For how long each question is asked again.
 const ASK_FOR: Duration = Duration::from_secs(20);
-/// A job that the case asks for.
-const ASKED: [usize; 3] = [0, JOBS / 2, JOBS - 1];
 
 /// Runs the case. Returns what broke the rule.
 pub fn run(has_trouble: bool, record: &Record) -> Result<Vec<String>, String> {
@@ -53,7 +53,8 @@
          \"Times\":{TIMES},\"FirstMs\":{first_ms},\"PeriodMs\":{PERIOD_MS}}}"
     );
     let mut accepted = Vec::new();
-    for number in 0..JOBS {
+    let began = Instant::now();
+    for number in (0..JOBS).take_while(|_| began.elapsed() < HAND_IN_FOR) {
         let path = format!("/queue/{:016x}", 0xd000 + number);
         if system.client(number % 2, "POST", &path, &job).is_ok_and(|response| response.0 == 200) {
             accepted.push(path);
@@ -65,8 +66,7 @@
     }
     thread::sleep(FINISH);
     let mut broken = Vec::new();
-    for at in ASKED {
-        let Some(path) = accepted.get(at.min(accepted.len() - 1)) else { continue };
+    for path in [accepted.first(), accepted.get(accepted.len() / 2), accepted.last()].into_iter().flatten() {
         let until = Instant::now() + ASK_FOR;
         let mut is_answered = false;
         let mut tries = 0;
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -195,14 +195,6 @@
         Ok(())
     }
 
-    /// Sends a signal to a process of the system, by name.
-    pub fn signal(&self, name: &str, signal: &str) -> Result<(), String> {
-        let child = self.children.get(name).ok_or_else(|| format!("no process {name}"))?;
-        self.record.line(format!("world {name} gets {signal}"));
-        let sent = Command::new("kill").args([signal, &child.id().to_string()]).status();
-        sent.map(drop).map_err(|e| format!("kill: {e}"))
-    }
-
     /// Makes an operator's call to the first daemon that gives a clear answer.
     pub fn operator(&self, method: &str, path: &str, body: &str) -> Result<Response, String> {
         let mut last = Err("no daemon".to_owned());
@@ -227,22 +219,6 @@
         self.record.line(format!("call  {method} {path} {body}: {answer:?}"));
         answer
     }
-
-    /// The control host that says it leads.
-    pub fn leader(&self) -> Option<u8> {
-        CONTROLS.into_iter().find(|host| {
-            let port = self.options.link_port.get(host).copied().unwrap_or(ENTRY_LINK_PORT) + 1;
-            let answer = http::call(address(self.net, *host, port), "GET", "/metrics", &[], "", CALL_LIMIT);
-            answer.is_ok_and(|(_, text)| text.lines().any(|line| line == "hg_control_leads 1"))
-        })
-    }
-
-    /// Keeps the logs of the processes in a folder, to look at them after the case.
-    pub fn keep_logs(&self, folder: &str) {
-        if let Err(error) = Command::new("cp").arg("-r").arg(&self.dir).arg(folder).status() {
-            eprintln!("logs: {error}");
-        }
-    }
 }
 
 impl Drop for System {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -245,7 +245,12 @@
             state: Arc::new(Mutex::new(state)),
         };
         let server = worker.clone();
-        http::serve(worker.machine.address, Arc::new(move |request| server.answer(request)))?;
+        let life = worker.clone();
+        http::serve_while(
+            worker.machine.address,
+            Arc::new(move |request| server.answer(request)),
+            Arc::new(move || life.id().is_some()),
+        )?;
         let ticker = worker.clone();
         thread::spawn(move || {
             loop {
@@ -316,7 +321,9 @@
         loop {
             let mut state = self.lock();
             if state.is_cut {
-                // What is sent into a partition is lost.
+                // What is sent into a partition is lost, and nothing tells the sender.
+                drop(state);
+                self.wait_for_end_of_cut();
                 return None;
             }
             let life = state.life.as_mut()?;
@@ -354,6 +361,12 @@
         }
     }
 
+    fn wait_for_end_of_cut(&self) {
+        while self.lock().is_cut {
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     /// Sends check-ins; after one that fails, the next daemon is called.
     fn report(&self, controls: &[SocketAddr]) {
         let mut at = self.machine.address.port() as usize + self.machine.name.len();
