--- a/review/standin-2/cut.rs
+++ b/review/standin-2/cut.rs
@@ -75,7 +75,9 @@
                 }) else {
                     continue;
                 };
-                let (Ok(reader), Ok(front)) = (back.try_clone(), front.try_clone()) else { continue };
+                let (Ok(reader), Ok(front)) = (back.try_clone(), front.try_clone()) else {
+                    continue;
+                };
                 let cut = cut.clone();
                 thread::spawn(move || {
                     let mut buf = vec![0; DATAGRAM_MAX];
@@ -150,7 +152,10 @@
                     held.extend_from_slice(&buf[..length]);
                 }
                 Err(error)
-                    if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+                    if matches!(
+                        error.kind(),
+                        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                    ) => {}
                 // The sender has reset the connection: what is held is lost.
                 Err(_) => {
                     let _ = to.shutdown(Shutdown::Both);
--- a/review/standin-2/flaky.rs
+++ b/review/standin-2/flaky.rs
@@ -35,7 +35,8 @@
             address: system.worker_address(number),
             cpu: 4_000,
         };
-        let worker = Worker::start(machine, "pool", &format!("i-{number}"), system.controls(), &runs);
+        let worker =
+            Worker::start(machine, "pool", &format!("i-{number}"), system.controls(), &runs);
         workers.push(worker.map_err(|e| e.to_string())?);
     }
     system.start(&config(1))?;
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -142,7 +142,8 @@
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
     }
-    text += &format!("Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    text +=
+        &format!("Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len());
     stream.write_all(text.as_bytes())?;
     let mut reader = BufReader::new(stream);
     let mut first = String::new();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -34,7 +34,10 @@
             return ExitCode::from(2);
         }
     };
-    record.line(format!("case {case}, {} the disruption", if has_trouble { "with" } else { "without" }));
+    record.line(format!(
+        "case {case}, {} the disruption",
+        if has_trouble { "with" } else { "without" }
+    ));
     let result = match case.as_str() {
         "flaky" => flaky::run(has_trouble, &record),
         "overdue" => overdue::run(has_trouble, &record),
--- a/review/standin-2/outage.rs
+++ b/review/standin-2/outage.rs
@@ -36,7 +36,8 @@
             address: system.worker_address(number),
             cpu: 8_000,
         };
-        let worker = Worker::start(machine, "pool", &format!("i-{number}"), system.controls(), &runs);
+        let worker =
+            Worker::start(machine, "pool", &format!("i-{number}"), system.controls(), &runs);
         workers.push(worker.map_err(|e| e.to_string())?);
     }
     system.start(&config(1))?;
@@ -69,7 +70,9 @@
     thread::sleep(IDLE_MAX);
     let second = system.client(1, "GET", path, "")?;
     let answered = far.iter().map(Worker::acknowledged).sum::<u64>() - answered_before;
-    record.line(format!("seen  {answered} check-ins of the far workers were acknowledged since the cut ended"));
+    record.line(format!(
+        "seen  {answered} check-ins of the far workers were acknowledged since the cut ended"
+    ));
     let has_started = runs.all().values().flatten().count() > starts_before;
     let is_over = first.1.contains("completed") || second.1.contains("completed");
     if is_over || was_running || has_started {
--- a/review/standin-2/overdue.rs
+++ b/review/standin-2/overdue.rs
@@ -37,7 +37,8 @@
             address: system.worker_address(number),
             cpu: 8_000,
         };
-        let worker = Worker::start(machine, "pool", &format!("i-{number}"), system.controls(), &runs);
+        let worker =
+            Worker::start(machine, "pool", &format!("i-{number}"), system.controls(), &runs);
         workers.push(worker.map_err(|e| e.to_string())?);
     }
     system.start(&config(1))?;
@@ -66,13 +67,16 @@
     }
     thread::sleep(FINISH);
     let mut broken = Vec::new();
-    for path in [accepted.first(), accepted.get(accepted.len() / 2), accepted.last()].into_iter().flatten() {
+    for path in
+        [accepted.first(), accepted.get(accepted.len() / 2), accepted.last()].into_iter().flatten()
+    {
         let until = Instant::now() + ASK_FOR;
         let mut is_answered = false;
         let mut tries = 0;
         while !is_answered && Instant::now() < until {
             tries += 1;
-            is_answered = system.client(tries % 2, "GET", path, "").is_ok_and(|response| response.0 == 200);
+            is_answered =
+                system.client(tries % 2, "GET", path, "").is_ok_and(|response| response.0 == 200);
             thread::sleep(Duration::from_millis(200));
         }
         if !is_answered {
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -90,7 +90,8 @@
         let delay = slow.filter(|(until, _)| Instant::now() < *until).map(|(_, delay)| delay);
         thread::sleep(delay.unwrap_or(ANSWER_DELAY));
         if request.method == "POST" {
-            self.record.line(format!("cloud answers {} {}: {}", request.path, request.body, response.0));
+            self.record
+                .line(format!("cloud answers {} {}: {}", request.path, request.body, response.0));
         }
         response
     }
@@ -132,7 +133,9 @@
         let (name, wave) = (body.text("Machine").unwrap_or(""), body.number("Wave").unwrap_or(0));
         let holder = request.header("X-Duty-Holder").unwrap_or("").to_owned();
         let fence = request.header("X-Fence-Token").and_then(|f| f.parse().ok()).unwrap_or(0);
-        self.record.line(format!("cloud gets upkeep of {name} for wave {wave} from {holder} with fence {fence}"));
+        self.record.line(format!(
+            "cloud gets upkeep of {name} for wave {wave} from {holder} with fence {fence}"
+        ));
         let order = MachineOrder { machine: name.to_owned(), holder, fence };
         self.orders.lock().expect("no thread panics while it holds the lock").push(order);
         let mut state = self.lock();
--- a/review/standin-2/runs.rs
+++ b/review/standin-2/runs.rs
@@ -44,9 +44,9 @@
         let at = self.record.elapsed();
         let mut runs = self.lock();
         let of_task = runs.entry(task.to_owned()).or_default();
-        let open = of_task.iter_mut().find(|run| {
-            run.worker == worker && run.number == number && run.ended.is_none()
-        });
+        let open = of_task
+            .iter_mut()
+            .find(|run| run.worker == worker && run.number == number && run.ended.is_none());
         if let Some(run) = open {
             run.ended = Some((at, how.to_owned()));
         }
--- a/review/standin-2/stale.rs
+++ b/review/standin-2/stale.rs
@@ -30,13 +30,15 @@
     let (mut cloud, mut ports) = (BTreeMap::new(), BTreeMap::new());
     for host in CONTROLS {
         let at = system.link_address(PLATFORM, link_port(host));
-        pass_bytes(at, system.platform_address(), host, &cut, begins_cut).map_err(|e| e.to_string())?;
+        pass_bytes(at, system.platform_address(), host, &cut, begins_cut)
+            .map_err(|e| e.to_string())?;
         cloud.insert(host, at);
         ports.insert(host, link_port(host));
         let others = CONTROLS.into_iter().filter(|other| *other != host);
         let seen_at = others.map(|other| (Some(other), link_port(other)));
         for (from, port) in seen_at.chain([(None, ENTRY_LINK_PORT)]) {
-            let (at, to) = (system.link_address(host, port), system.link_address(host, link_port(host)));
+            let (at, to) =
+                (system.link_address(host, port), system.link_address(host, link_port(host)));
             pass_datagrams(at, to, (from, host), &cut).map_err(|e| e.to_string())?;
         }
     }
@@ -53,7 +55,8 @@
             address: system.worker_address(number),
             cpu: 8_000,
         };
-        let worker = Worker::start(machine, "pool", &format!("i-{number}"), system.controls(), &runs);
+        let worker =
+            Worker::start(machine, "pool", &format!("i-{number}"), system.controls(), &runs);
         let worker = worker.map_err(|e| e.to_string())?;
         platform.add(&worker);
         workers.push(worker);
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -113,7 +113,8 @@
         for host in CONTROLS {
             self.start_control(host, true).map_err(|e| format!("control {host}: {e}"))?;
         }
-        let accepted = || self.operator("POST", "/config/replace", config).is_ok_and(|r| r.0 == 200);
+        let accepted =
+            || self.operator("POST", "/config/replace", config).is_ok_and(|r| r.0 == 200);
         wait_until("the first config is acknowledged", Duration::from_secs(20), accepted)?;
         wait_until("the entries are ready", Duration::from_secs(20), || {
             ENTRIES.iter().all(|host| {
@@ -143,7 +144,13 @@
         let more = format!(
             "LossCounts = false\nBootstrap = true\n[Listen]\nFront = \"{front}\"\nReadyAddr = \"{ready}\"\n"
         );
-        self.spawn("target/release/heathergrade-platform-entry", &[], &format!("front-{host}"), host, &more)
+        self.spawn(
+            "target/release/heathergrade-platform-entry",
+            &[],
+            &format!("front-{host}"),
+            host,
+            &more,
+        )
     }
 
     fn spawn(
@@ -183,7 +190,10 @@
         );
         let file = self.dir.join(format!("{name}.toml"));
         fs::write(&file, settings)?;
-        let log = OpenOptions::new().create(true).append(true).open(self.dir.join(format!("{name}.log")))?;
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.dir.join(format!("{name}.log")))?;
         let child = Command::new(program)
             .args(arguments)
             .env("HEATHERGRADE_NODE_FILE", file)
@@ -211,7 +221,13 @@
     }
 
     /// Makes a client's call to an entry.
-    pub fn client(&self, entry: usize, method: &str, path: &str, body: &str) -> Result<Response, String> {
+    pub fn client(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Result<Response, String> {
         let headers = [("Host", "jobs.example"), ("X-Api-Key", "key-1"), ("X-Deadline-Ms", "3000")];
         let front = address(self.net, ENTRIES[entry], FRONT_PORT);
         let answer = http::call(front, method, path, &headers, body, Duration::from_secs(3));
--- a/review/standin-2/upkeep.rs
+++ b/review/standin-2/upkeep.rs
@@ -31,7 +31,8 @@
             address: system.worker_address(number),
             cpu: 8_000,
         };
-        let worker = Worker::start(machine, "pool", &format!("i-{number}"), system.controls(), &runs);
+        let worker =
+            Worker::start(machine, "pool", &format!("i-{number}"), system.controls(), &runs);
         let worker = worker.map_err(|e| e.to_string())?;
         platform.add(&worker);
         workers.push(worker);
@@ -71,6 +72,8 @@
     system.client(1, "POST", "/queue/00000000000000a2", &job)?;
     thread::sleep(Duration::from_secs(5));
     let starts_later = runs.on(&new_life).len() - starts_before;
-    record.line(format!("seen  a later job with data in the same rack: {starts_later} starts on {new_life}"));
+    record.line(format!(
+        "seen  a later job with data in the same rack: {starts_later} starts on {new_life}"
+    ));
     Ok(runs.twice().into_iter().map(|pair| format!("TWICE: {pair}")).collect())
 }
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -204,14 +204,8 @@
         runs.start(&self.id, task, run);
         let until_ms = until.min(now + LEASE_MAX_MS);
         let done_at_ms = now + work_ms;
-        let running = Running {
-            run,
-            until_ms,
-            began_at_ms: now,
-            done_at_ms,
-            cpu,
-            stopping_until_ms: None,
-        };
+        let running =
+            Running { run, until_ms, began_at_ms: now, done_at_ms, cpu, stopping_until_ms: None };
         self.running.insert(task.to_owned(), running);
         (200, format!("{{\"ClockMs\":{now}}}"))
     }
@@ -297,7 +291,9 @@
         for task in tasks {
             life.end(&self.runs, &task, "ended with the worker");
         }
-        self.runs.record.line(format!("world {} is down: {} has ended", self.machine.name, life.id));
+        self.runs
+            .record
+            .line(format!("world {} is down: {} has ended", self.machine.name, life.id));
     }
 
     /// Begins a new life.
@@ -385,7 +381,9 @@
                     let life = state.life.as_mut().filter(|life| life.id == id);
                     if let Some(life) = life {
                         if life.acknowledged == 0 {
-                            self.runs.record.line(format!("beat  first check-in of {id} is acknowledged"));
+                            self.runs
+                                .record
+                                .line(format!("beat  first check-in of {id} is acknowledged"));
                         }
                         life.acknowledged += 1;
                     }
