--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod foreign;
 mod http;
 mod json;
+mod locality;
 mod outage;
 mod overdue;
 mod platform;
@@ -20,10 +21,15 @@
 
 use std::env;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use record::Record;
 
+/// No case runs for longer.
+const CASE_LIMIT: Duration = Duration::from_secs(117);
+
 fn main() -> ExitCode {
+    system::end_after(CASE_LIMIT);
     let case = env::args().nth(1).unwrap_or_default();
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let path = env::var("RECORD").unwrap_or_else(|_| "record.txt".to_owned());
@@ -42,6 +48,7 @@
         "flaky" => flaky::run(has_trouble, &record),
         "overdue" => overdue::run(has_trouble, &record),
         "foreign" => foreign::run(has_trouble, &record),
+        "locality" => locality::run(has_trouble, &record),
         "outage" => outage::run(has_trouble, &record),
         "stale" => stale::run(has_trouble, &record),
         "upkeep" => upkeep::run(has_trouble, &record),
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -6,6 +6,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -31,6 +32,22 @@
 /// The arguments of the control program in the deploy file.
 const CONTROL_ARGUMENTS: [&str; 2] = ["--policies", "host-speeds,run-times,fair-shares"];
 
+/// The processes that were started, by id.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the processes that were started, and this one with exit code 2, after a time in which every case has ended.
+pub fn end_after(limit: Duration) {
+    thread::spawn(move || {
+        thread::sleep(limit);
+        eprintln!("the case took longer than {limit:?}");
+        for id in STARTED.lock().expect("no thread panics while it holds the lock").iter() {
+            // One that has ended already needs no signal.
+            let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        }
+        std::process::exit(2);
+    });
+}
+
 /// What differs between cases.
 #[derive(Debug, Clone, Default)]
 pub struct Options {
@@ -201,6 +218,7 @@
             .stderr(log)
             .spawn()?;
         self.record.line(format!("world {name} starts as process {}", child.id()));
+        STARTED.lock().expect("no thread panics while it holds the lock").push(child.id());
         self.children.insert(name.to_owned(), child);
         Ok(())
     }
