--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -337,8 +337,16 @@
             }
             life.fence = fence;
             match request.path.as_str() {
-                "/run-start" => return Some(life.start(&self.runs, &self.machine, &body)),
-                "/run-stop" => return Some(life.stop(&body)),
+                "/run-start" => {
+                    let response = life.start(&self.runs, &self.machine, &body);
+                    self.record_order(&life.id, request, &response);
+                    return Some(response);
+                }
+                "/run-stop" => {
+                    let response = life.stop(&body);
+                    self.record_order(&life.id, request, &response);
+                    return Some(response);
+                }
                 "/pace" => return Some((200, format!("{{\"ClockMs\":{}}}", life.clock_ms()))),
                 "/hold" => {}
                 _ => return Some((200, "{}".to_owned())),
@@ -350,13 +358,21 @@
                 is_extended = true;
             }
             if !life.ended.is_empty() || began.elapsed() >= wait {
-                return Some((200, life.lists()));
+                let response = (200, life.lists());
+                self.record_order(&life.id, request, &response);
+                return Some(response);
             }
             drop(state);
             thread::sleep(Duration::from_millis(5));
         }
     }
 
+    /// Records an order and its answer.
+    fn record_order(&self, id: &str, request: &Request, response: &Response) {
+        let (path, body) = (&request.path, &request.body);
+        self.runs.record.line(format!("order {id} {path} {body}: {response:?}"));
+    }
+
     fn wait_for_end_of_cut(&self) {
         while self.lock().is_cut {
             thread::sleep(Duration::from_millis(20));
@@ -375,6 +391,8 @@
             let control = preferred.unwrap_or(controls[at % controls.len()]);
             let path = format!("/instances/{id}/heartbeat");
             let answer = http::call(control, "POST", &path, &[], &body, HEARTBEAT_LIMIT);
+            let shown = answer.as_ref().map(|response| response.0).map_err(ToString::to_string);
+            self.runs.record.line(format!("beat  {id} to {control}: {shown:?}"));
             match answer {
                 Ok((200, text)) => {
                     let mut state = self.lock();
