hg_control: log why an upstream is deregistered

The leader now writes upstream.departing with the cause before it proposes the deregistration.

No decision changes; departures through one type also replace the separate list of upstreams that answered under another name.

--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -153,10 +153,8 @@
                 "task" => %run.task, "run" => run.run.0, "upstream" => %run.upstream,
                 "cause" => %cause);
         }
-        for name in work.other_incarnations {
-            if let Some(known) = self.ledger.workflows().upstreams().get(&name).cloned() {
-                self.on_incarnation_ended(now, &known);
-            }
+        for departure in work.departures {
+            self.on_departure(now, &departure);
         }
         for command in work.commands {
             self.propose(now, Command::Workflow(command), Purpose::Kept);
--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -13,6 +13,7 @@
 mod broken_gangs;
 mod contention;
 mod crash_evidence;
+mod departure;
 mod dispatch;
 mod drains;
 mod forecast;
--- a/crates/hg_control/src/workflow/platform_reports.rs
+++ b/crates/hg_control/src/workflow/platform_reports.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use hg_ledger::{Command, WorkflowCommand};
+use hg_ledger::Command;
 use hg_model::{HostName, Time};
 use hg_policy::AdviceRequest;
 use hg_replica::Disk;
 use slog::{info, warn};
 
+use super::departure::{Departure, DepartureCause};
 use super::platform_calls::hosts_in_upkeep;
 use super::telemetry;
 use super::{Advice, HostOrderResult, PlatformCallReport};
@@ -79,13 +80,17 @@
 
     /// Deregisters the upstreams on hosts that were taken down; those that follow are other incarnations.
     fn deregister_upstreams_on(&mut self, now: Time, down: &BTreeSet<HostName>) {
-        let Some(leadership) = self.workflow_leadership.as_ref() else { return };
         let upstreams = self.ledger.workflows().upstreams().values();
-        let gone = upstreams.filter(|u| u.host.as_ref().is_some_and(|host| down.contains(host)));
-        let deregistrations: Vec<WorkflowCommand> =
-            gone.map(|u| leadership.sessions.deregistration(now, &u.name, u.incarnation)).collect();
-        for command in deregistrations {
-            self.propose(now, Command::Workflow(command), Purpose::Kept);
+        let departures: Vec<Departure> = upstreams
+            .filter_map(|report| {
+                let host = report.host.as_ref().filter(|host| down.contains(*host))?;
+                let (upstream, incarnation) = (report.name.clone(), report.incarnation);
+                let cause = DepartureCause::HostDown(host.clone());
+                Some(Departure { upstream, incarnation, cause })
+            })
+            .collect();
+        for departure in departures {
+            self.on_departure(now, &departure);
         }
     }
 }
--- a/crates/hg_control/src/workflow/reports.rs
+++ b/crates/hg_control/src/workflow/reports.rs
@@ -6,6 +6,7 @@
 use hg_ledger::WorkflowCommand;
 use hg_model::{ListedRun, RunEnd, RunListing, TaskId, Time, UpstreamName};
 
+use super::departure::DepartureCause;
 use super::dispatch::LISTING_WAIT;
 use super::run_loss::{RunLoss, RunLossCause};
 use super::session::{RunSession, SUSPECT_FOR, Session, StartStage, StopStage};
@@ -40,8 +41,7 @@
         }
         OrderResult::OtherIncarnation => {
             session.renew_at = now.after(SUSPECT_FOR);
-            work.other_incarnations.push(name.clone());
-            work.commands.push(session.deregistration(now, name));
+            work.departures.push(session.departure(name, DepartureCause::OtherAnswered));
         }
         _ => {
             session.runs.values_mut().for_each(record_unsent);
@@ -200,8 +200,7 @@
         }
         OrderResult::OtherIncarnation => {
             reset_for_retry(run, id);
-            work.other_incarnations.push(name.clone());
-            work.commands.push(session.deregistration(now, name));
+            work.departures.push(session.departure(name, DepartureCause::OtherAnswered));
         }
         OrderResult::Fenced
         | OrderResult::Listed(_)
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -12,6 +12,7 @@
 use hg_replica::Disk;
 use slog::info;
 
+use super::departure::{Departure, DepartureCause};
 use super::telemetry;
 use crate::core::{Purpose, ReplyKind};
 use crate::{Core, Ticket};
@@ -268,10 +269,9 @@
         if is_unknown {
             self.on_return(now, &name, incarnation);
         }
-        if let Some(other) = other {
-            let leadership = self.workflow_leadership.as_ref()?;
-            let command = leadership.sessions.deregistration(now, &other.name, other.incarnation);
-            self.propose(now, Command::Workflow(command), Purpose::Kept);
+        if let Some(UpstreamReport { name: upstream, incarnation, .. }) = other {
+            let cause = DepartureCause::AddressReported(name);
+            self.on_departure(now, &Departure { upstream, incarnation, cause });
         }
         self.propose_workflow(
             now,
@@ -292,11 +292,9 @@
         let Some(known) = known.filter(|k| incarnation.is_none_or(|i| i == k.incarnation)) else {
             return Some(WorkflowReply::Noted);
         };
-        let command = self.workflow_leadership.as_ref()?.sessions.deregistration(
-            now,
-            &name,
-            known.incarnation,
-        );
+        let (incarnation, cause) = (known.incarnation, DepartureCause::Left);
+        let departure = Departure { upstream: name, incarnation, cause };
+        let command = self.deregistration(now, &departure)?;
         self.propose_workflow(now, ticket, command, WorkflowReplyKind::Noted)
     }
 
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -11,6 +11,7 @@
 };
 
 use super::OrderId;
+use super::departure::{Departure, DepartureCause};
 use super::dispatch::LISTING_WAIT;
 
 /// How much slower than the leader's clock an upstream's clock may run, in percent.
@@ -296,6 +297,11 @@
         self.runs.get(task).filter(|known| known.run == run)?.checkpoint.as_ref()
     }
 
+    /// The deregistration of this incarnation.
+    pub(super) fn departure(&self, name: &UpstreamName, cause: DepartureCause) -> Departure {
+        Departure { upstream: name.clone(), incarnation: self.incarnation, cause }
+    }
+
     /// The command that records the end of this incarnation, with the known checkpoints of its runs.
     pub(super) fn deregistration(&self, now: Time, name: &UpstreamName) -> WorkflowCommand {
         let saved = self.runs.iter().filter_map(|(task, run)| {
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -10,6 +10,7 @@
 };
 use hg_policy::{FleetObservations, PaceChange, TicketCache, WorkflowBounds};
 
+use super::departure::{Departure, DepartureCause};
 use super::dispatch::Dispatch;
 use super::reports::{RunReport, on_pace_report, on_renewal, on_run_report};
 use super::run_loss::{RunLoss, RunLossCause};
@@ -28,8 +29,8 @@
     pub(crate) orders: Vec<Order>,
     /// Commands to be proposed to the replicated log.
     pub(crate) commands: Vec<WorkflowCommand>,
-    /// Upstreams that answered as another incarnation than the registered one.
-    pub(crate) other_incarnations: Vec<UpstreamName>,
+    /// Upstreams to be deregistered.
+    pub(crate) departures: Vec<Departure>,
     /// Tasks whose change of pace may not have been applied.
     pub(crate) unconfirmed_paces: Vec<TaskId>,
     /// The runs that the commands record as lost.
@@ -383,7 +384,7 @@
             dispatch.send_renewal(session, ledger);
             if now >= session.last_contact.after(DEREGISTER_AFTER) && session.runs.is_empty() {
                 session.last_contact = now;
-                work.commands.push(session.deregistration(now, name));
+                work.departures.push(session.departure(name, DepartureCause::Silent));
             }
             session.record_visit(now);
         }
