hg_control: a heartbeat no longer ends the upstream whose address it reports

One check-in of another writer, with the address of an upstream, had that upstream deregistered; its runs were recorded as lost at once, and it got no more work.

Cause: an upstream that reports the address of another one, with a later start time, was taken for the proof that the other has ended. It is a claim of a party that only knows about itself.

Change: the upstream that registers at the address of another one is asked for its runs at once and gets no start before. If it lists them, the earlier one has ended and is deregistered; if the process there answers that the order is meant for another upstream, the later one is. A new leader finds shared addresses in the log and asks again. This works since only the process at the address answers, and orders name whom they are meant for.

--- a/crates/hg_control/src/workflow/departure.rs
+++ b/crates/hg_control/src/workflow/departure.rs
@@ -18,9 +18,9 @@
     /// An order to it was answered under another name.
     #[display("another upstream answered")]
     OtherAnswered,
-    /// A heartbeat of another upstream has its address.
-    #[display("its address is in a heartbeat of {_0}")]
-    AddressReported(UpstreamName),
+    /// A later upstream has listed its runs at the same address.
+    #[display("{_0} answered at its address")]
+    Replaced(UpstreamName),
     /// Its host was taken down, for upkeep or to move to another pool.
     #[display("host {_0} is down")]
     HostDown(HostName),
@@ -44,7 +44,7 @@
     /// Proposes to deregister an upstream, and records its crash if that is how it ended.
     pub(super) fn on_departure(&mut self, now: Time, departure: &Departure) {
         let Departure { upstream, incarnation, cause } = departure;
-        if *cause == DepartureCause::OtherAnswered {
+        if matches!(cause, DepartureCause::OtherAnswered | DepartureCause::Replaced(_)) {
             let known = self.ledger.workflows().upstreams().get(upstream);
             if let Some(known) = known.filter(|k| k.incarnation == *incarnation).cloned() {
                 self.on_incarnation_ended(now, &known);
--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -281,7 +281,7 @@
             }
             WorkflowEffect::Registered(name) => {
                 if let Some(report) = ledger.upstreams().get(name) {
-                    leadership.sessions.open(now, report, ledger);
+                    leadership.sessions.record_registered(now, report, ledger);
                 }
             }
             WorkflowEffect::Deregistered(name) => leadership.sessions.close(name),
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -258,21 +258,16 @@
         let earlier = known.filter(|known| known.incarnation < incarnation).cloned();
         let others = workflows.upstreams().values();
         let mut same_address = others.filter(|u| u.address == report.address && u.name != name);
-        let other = same_address.next().cloned();
-        if other.as_ref().is_some_and(|other| other.incarnation > incarnation) {
+        if same_address.any(|other| other.incarnation > incarnation) {
             // A delayed heartbeat of an incarnation that has ended.
             return Some(WorkflowReply::Noted);
         }
-        for ended in earlier.iter().chain(&other) {
-            self.on_incarnation_ended(now, ended);
+        if let Some(ended) = earlier {
+            self.on_incarnation_ended(now, &ended);
         }
         if is_unknown {
             self.on_return(now, &name, incarnation);
         }
-        if let Some(UpstreamReport { name: upstream, incarnation, .. }) = other {
-            let cause = DepartureCause::AddressReported(name);
-            self.on_departure(now, &Departure { upstream, incarnation, cause });
-        }
         self.propose_workflow(
             now,
             ticket,
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -153,6 +153,8 @@
     /// Whether a listing is needed although no run is known there; set for upstreams that were registered in
     /// an earlier term.
     pub(super) needs_initial_listing: bool,
+    /// Whether another upstream is registered at its address: that one has ended once this one lists its runs.
+    pub(super) is_address_contested: bool,
     pub(super) pending_renewal: Option<OrderId>,
     pub(super) renew_at: Time,
     /// Ends up to this number are in the replicated log.
@@ -218,6 +220,7 @@
             lease_until: None,
             earlier_leases_until: now.after(on_slow_clock(lease_max)).after(LEASE_MARGIN),
             needs_initial_listing: false,
+            is_address_contested: false,
             pending_renewal: None,
             renew_at: now,
             recorded_upto: 0,
@@ -437,6 +440,17 @@
         self.is_incarnation_confirmed = false;
     }
 
+    /// Handles that another upstream is registered at its address: the next listing tells which of them is there.
+    pub(super) const fn await_address(&mut self) {
+        self.is_address_contested = true;
+        self.await_initial_listing();
+    }
+
+    /// Whether it has listed its runs since another upstream was found at its address.
+    pub(super) const fn has_won_address(&self) -> bool {
+        self.is_address_contested && self.is_incarnation_confirmed
+    }
+
     /// Whether a start would reach this incarnation, as far as is known. A later one under the same name must not get the
     /// orders of this one: what crashed this one could crash it too.
     pub(super) const fn is_incarnation_confirmed(&self) -> bool {
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -1,6 +1,7 @@
 //! The sessions of a leadership term: sends due orders to all upstreams and applies their results.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hg_ledger::{LostRun, OpenRun, RunRef, WorkflowCommand, WorkflowLedger};
@@ -156,8 +157,12 @@
             cold_until: BTreeMap::new(),
             next_order: 1,
         };
+        let mut at_address: BTreeMap<SocketAddr, u32> = BTreeMap::new();
         for report in ledger.upstreams().values() {
-            sessions.open(now, report, ledger);
+            *at_address.entry(report.address).or_default() += 1;
+        }
+        for report in ledger.upstreams().values() {
+            sessions.open(now, report, ledger, at_address[&report.address] > 1);
             if let Some(session) = sessions.touched(&report.name) {
                 session.await_initial_listing();
             }
@@ -166,7 +171,26 @@
     }
 
     /// Handles the registration of an upstream, or a change of its registered properties.
-    pub(crate) fn open(&mut self, now: Time, report: &UpstreamReport, ledger: &WorkflowLedger) {
+    pub(crate) fn record_registered(
+        &mut self,
+        now: Time,
+        report: &UpstreamReport,
+        ledger: &WorkflowLedger,
+    ) {
+        let others = ledger.upstreams().values().filter(|other| other.name != report.name);
+        let is_contested = others.map(|other| other.address).any(|at| at == report.address);
+        self.open(now, report, ledger, is_contested);
+    }
+
+    /// Opens the session of a registered incarnation, or updates it. `is_contested` says whether another upstream is
+    /// registered at the same address.
+    fn open(
+        &mut self,
+        now: Time,
+        report: &UpstreamReport,
+        ledger: &WorkflowLedger,
+        is_contested: bool,
+    ) {
         let known = self.touched(&report.name);
         if let Some(session) = known.filter(|s| s.incarnation == report.incarnation) {
             session.address = report.address;
@@ -174,6 +198,9 @@
         }
         let mut session =
             Session::new(now, report.incarnation, report.address, self.bounds.lease_max);
+        if is_contested {
+            session.await_address();
+        }
         let earlier = self.sessions.get(&report.name);
         if let Some((incarnation, clock, at)) = self.early_clocks.remove(&report.name)
             && incarnation == report.incarnation
@@ -391,6 +418,18 @@
         work.record_losses(now, lost);
     }
 
+    /// The earlier upstreams that are registered at the address where an upstream has just listed its runs.
+    fn replaced_by(&self, successor: &UpstreamName) -> Vec<Departure> {
+        let Some(Session { address, incarnation, .. }) = self.sessions.get(successor) else {
+            return Vec::new();
+        };
+        let is_replaced =
+            |other: &Session| other.address == *address && other.incarnation < *incarnation;
+        let replaced = self.sessions.iter().filter(|(_, other)| is_replaced(other));
+        let cause = || DepartureCause::Replaced(successor.clone());
+        replaced.map(|(name, other)| other.departure(name, cause())).collect()
+    }
+
     /// Applies the result of an order.
     pub(crate) fn on_report(&mut self, now: Time, report: OrderReport, work: &mut Work) {
         let OrderReport { id, upstream, result } = report;
@@ -403,6 +442,10 @@
         if session.pending_renewal == Some(id) {
             session.pending_renewal = None;
             on_renewal(now, id, &upstream, session, result, work);
+            if session.has_won_address() {
+                session.is_address_contested = false;
+                work.departures.extend(self.replaced_by(&upstream));
+            }
             return;
         }
         let is_of =
--- a/crates/hg_control/tests/workflow_world/stand_in.rs
+++ b/crates/hg_control/tests/workflow_world/stand_in.rs
@@ -1,6 +1,7 @@
 //! A stand-in upstream that behaves as the platform specifies.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hg_control::{Order, OrderKind, OrderResult, StartRefusal};
@@ -42,6 +43,7 @@
 #[derive(Debug)]
 pub struct StandIn {
     pub name: UpstreamName,
+    pub address: SocketAddr,
     pub incarnation: Incarnation,
     pub capacity: ResourceVector,
     /// Whether no message reaches it or comes back.
@@ -65,6 +67,7 @@
 impl StandIn {
     pub fn new(
         name: UpstreamName,
+        address: SocketAddr,
         incarnation: u64,
         capacity: ResourceVector,
         bounds: WorkflowBounds,
@@ -72,6 +75,7 @@
     ) -> Self {
         Self {
             name,
+            address,
             incarnation: Incarnation(incarnation),
             capacity,
             disconnected: false,
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -39,6 +39,8 @@
 const UPSTREAMS: u32 = 6;
 const PER_RACK: u32 = 3;
 const UPSTREAMS_MIN: usize = 4;
+/// The port of the first upstream.
+const FIRST_PORT: u16 = 9_000;
 const HOST: ResourceVector = ResourceVector::new(8, 32_000, 131_072);
 
 /// The probability of each fault, in thousandths.
@@ -116,6 +118,8 @@
     rng: ChaCha8Rng,
     faults: Faults,
     upstreams: BTreeMap<UpstreamName, StandIn>,
+    /// The name of the latest upstream at each address.
+    names: BTreeMap<SocketAddr, UpstreamName>,
     in_flight: BTreeMap<(u64, u64), InFlight>,
     next_in_flight: u64,
     incarnations: u64,
@@ -200,6 +204,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             faults,
             upstreams: BTreeMap::new(),
+            names: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             next_in_flight: 0,
             incarnations: 0,
@@ -224,7 +229,7 @@
             orders_digest: DefaultHasher::new(),
         };
         for number in 0..upstreams {
-            world.start_upstream(&name(number));
+            world.start_upstream(&name(number), address(number));
         }
         world.run(4_000);
         world.request(None, WorkflowRequest::PutCatalog(world.catalog()));
@@ -389,6 +394,35 @@
         self.send_heartbeat(report, clock);
     }
 
+    /// What an upstream reports of itself.
+    pub fn report_of(&self, number: u32) -> UpstreamReport {
+        report(&self.upstreams[&name(number)])
+    }
+
+    /// Sends a heartbeat that no upstream sends, which makes the leader act before anything else happens.
+    pub fn send_foreign_heartbeat(&mut self, report: UpstreamReport) {
+        trace(self.now, &format!("foreign heartbeat: {report:?}"));
+        self.send_heartbeat(report, ClockReading(1_000));
+    }
+
+    /// Crashes an upstream and starts another one at its address at once, which reports itself.
+    pub fn replace_upstream(&mut self, number: u32, successor: &str, incarnation: Incarnation) {
+        self.crash(&name(number));
+        self.down.clear();
+        let successor = UpstreamName::new(successor).expect("a good name");
+        self.start_upstream(&successor, address(number));
+        let stand_in = self.upstreams.get_mut(&successor).expect("just started");
+        stand_in.incarnation = incarnation;
+        let (report, clock) = (report(stand_in), stand_in.clock(self.now));
+        self.send_heartbeat(report, clock);
+    }
+
+    /// The upstreams that are registered, whether they run or not.
+    pub fn registered(&self) -> Vec<&str> {
+        let upstreams = self.core.ledger().workflows().upstreams();
+        upstreams.keys().map(|name| name.as_str()).collect()
+    }
+
     /// Changes the capacity of an upstream; its next heartbeat reports it.
     pub fn set_capacity(&mut self, number: u32, capacity: ResourceVector) {
         let until = self.now + SHRINK_GRACE_MS + self.heartbeat_ms();
@@ -463,7 +497,7 @@
         let due: Vec<_> = self.down.extract_if(.., |_, back_at| *back_at <= now).collect();
         for (upstream, _) in due {
             trace(now, &format!("{upstream} is back"));
-            self.start_upstream(&upstream);
+            self.restart_upstream(&upstream);
         }
     }
 
@@ -668,8 +702,8 @@
             .hash(&mut self.orders_digest);
         let limit = u64::try_from(order.limit.as_millis()).expect("a short limit");
         let (id, upstream) = (order.id, order.upstream.clone());
-        let incarnation =
-            self.upstreams.get(&order.upstream).map_or(Incarnation(0), |u| u.incarnation);
+        let there = self.names.get(&order.address).and_then(|name| self.upstreams.get(name));
+        let incarnation = there.map_or(Incarnation(0), |u| u.incarnation);
         let network_delay = self.rng.random_range(0..NETWORK_DELAY_MAX_MS);
         let unanswered = OrderResult::Unanswered("no answer".to_owned());
         let none = OrderReport { id, upstream, result: unanswered };
@@ -705,10 +739,8 @@
             if self.chance(self.faults.failing_runs) { EndKind::Failed } else { EndKind::Done };
         let work = (self.rng.random_range(self.run_ms.clone()), kind);
         let now = self.now;
-        let stand_in = self
-            .upstreams
-            .get_mut(&upstream)
-            .filter(|u| !u.disconnected && u.incarnation == incarnation);
+        let there = self.names.get(&order.address).and_then(|name| self.upstreams.get_mut(name));
+        let stand_in = there.filter(|u| !u.disconnected && u.incarnation == incarnation);
         let Some(stand_in) = stand_in else {
             if answer == Answer::Wanted {
                 let result = OrderResult::Unanswered("disconnected".to_owned());
@@ -810,15 +842,21 @@
         self.request(None, WorkflowRequest::Heartbeat { report, readings });
     }
 
-    fn start_upstream(&mut self, name: &UpstreamName) {
+    fn start_upstream(&mut self, name: &UpstreamName, address: SocketAddr) {
         self.incarnations += 1;
         let mut stand_in =
-            StandIn::new(name.clone(), self.incarnations, HOST, self.bounds, self.now);
+            StandIn::new(name.clone(), address, self.incarnations, HOST, self.bounds, self.now);
+        self.names.insert(address, name.clone());
         stand_in.enforces_capacity = self.enforces_capacity;
         stand_in.listed_ends_max = self.listed_ends_max;
         self.upstreams.insert(name.clone(), stand_in);
     }
 
+    fn restart_upstream(&mut self, name: &UpstreamName) {
+        let address = self.names.iter().find(|(_, known)| *known == name).map(|(at, _)| *at);
+        self.start_upstream(name, address.expect("it was started before"));
+    }
+
     /// Ends the remaining members of gangs that lose a member on `victim`.
     fn break_gangs_of(&mut self, victim: &UpstreamName) {
         let lost: Vec<(TaskId, RunNumber)> =
@@ -851,7 +889,7 @@
             trace(self.now, &format!("{victim} crashes"));
             self.break_gangs_of(&victim);
             self.oracle.incarnation_ended(&victim);
-            self.start_upstream(&victim);
+            self.restart_upstream(&victim);
         }
         if self.chance(self.faults.permanent_losses) && self.upstreams.len() > UPSTREAMS_MIN {
             trace(self.now, &format!("{victim} is lost for good"));
@@ -979,13 +1017,19 @@
     DataCentreName::new(format!("dc{}", number / PER_RACK)).expect("a good name")
 }
 
+/// The address of an upstream, which stays when the upstream gets another name.
+fn address(number: u32) -> SocketAddr {
+    let port = u16::try_from(u32::from(FIRST_PORT) + number).expect("few upstreams");
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
 fn report(upstream: &StandIn) -> UpstreamReport {
-    let number: u32 = upstream.name.as_str()[1..].parse().expect("named by number");
+    let number = u32::from(upstream.address.port() - FIRST_PORT);
     let rack = format!("r{}", number / PER_RACK);
     UpstreamReport {
         name: upstream.name.clone(),
         incarnation: upstream.incarnation,
-        address: format!("127.0.0.1:{}", 9_000 + number).parse().expect("an address"),
+        address: upstream.address,
         host: None,
         pool: PoolName::new("pool").expect("a good name"),
         data_centre: data_centre(number),
