hg_control: heartbeats of unknown pools change nothing

What was seen: a check-in of a service that is in no config, under the id of a worker, replaced the incarnation of that worker. What ran there was stopped, and the worker's own heartbeats counted as those of an earlier incarnation, so it was not used again.

Cause: the pool of a heartbeat was never compared with the catalog.

Change: a heartbeat registers or changes an upstream if its pool is in the catalog in force, or if the same incarnation was registered with that pool and address, so that an upstream whose pool is taken out of the catalog still reports its capacity and that it leaves. It is answered 200 as before: it may be an upstream whose pool the next catalog has. Counted in hg_workflow_foreign_heartbeats.

--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 51] = [
+pub const METRICS: [Metric; 52] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -208,6 +208,13 @@
         "orders",
         "Results of orders.",
     ),
+    metric(
+        "hg_workflow_foreign_heartbeats",
+        Counter,
+        "",
+        "heartbeats",
+        "Heartbeats of pools that are not in the catalog in force; they change nothing.",
+    ),
     metric(
         "hg_workflow_upstream_crashes",
         Counter,
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -10,7 +10,7 @@
 };
 use hg_policy::{Submission, admit};
 use hg_replica::Disk;
-use slog::info;
+use slog::{debug, info};
 
 use super::departure::{Departure, DepartureCause};
 use super::telemetry;
@@ -235,10 +235,17 @@
         cold_left_ms: Option<u64>,
     ) -> Option<WorkflowReply> {
         let (name, incarnation) = (report.name.clone(), report.incarnation);
+        let may_register = self.has_known_pool(&report);
         let leadership = self.workflow_leadership.as_mut()?;
         if leadership.sessions.has_departed(&name, incarnation) {
             return Some(WorkflowReply::Noted);
         }
+        if !may_register {
+            telemetry::record_foreign_heartbeat();
+            debug!(self.log, "workflow: heartbeat of an unknown pool"; "event" => "heartbeat.foreign",
+                "upstream" => %name, "pool" => %report.pool, "address" => %report.address);
+            return Some(WorkflowReply::Noted);
+        }
         let is_latest = leadership.sessions.record_heartbeat(now, &report, readings);
         if is_latest {
             leadership.sessions.record_cold(now, &report, cold_left_ms);
@@ -276,6 +283,19 @@
         )
     }
 
+    /// Whether the pool of a heartbeat is in the catalog in force, or was when the same incarnation was registered. Before
+    /// the first catalog, any pool may be one of it.
+    fn has_known_pool(&self, report: &UpstreamReport) -> bool {
+        let workflows = self.ledger.workflows();
+        let is_same = |known: &UpstreamReport| {
+            known.incarnation == report.incarnation
+                && known.pool == report.pool
+                && known.address == report.address
+        };
+        workflows.catalog().is_none_or(|catalog| catalog.pool(&report.pool).is_some())
+            || workflows.upstreams().get(&report.name).is_some_and(is_same)
+    }
+
     fn on_leave(
         &mut self,
         now: Time,
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -55,6 +55,10 @@
     metrics::counter!("hg_workflow_starts").increment(u64::try_from(count).unwrap_or(u64::MAX));
 }
 
+pub(super) fn record_foreign_heartbeat() {
+    metrics::counter!("hg_workflow_foreign_heartbeats").increment(1);
+}
+
 pub(super) fn record_stop(reason: StopReason) {
     metrics::counter!("hg_workflow_stops", "reason" => reason.to_string()).increment(1);
 }
--- a/crates/hg_control/tests/foreign_reports/mod.rs
+++ b/crates/hg_control/tests/foreign_reports/mod.rs
@@ -90,3 +90,32 @@
     assert!(registered.contains(&"successor"), "{registered:?}");
     assert!(!registered.contains(&crashed.as_str()), "{registered:?}");
 }
+
+/// Guards against a heartbeat of a pool that the catalog lacks, under the name of an upstream, that replaces the upstream: what
+/// it runs would be stopped, and its own heartbeats would count as those of an earlier incarnation.
+#[test]
+fn heartbeat_of_an_unknown_pool_under_the_name_of_an_upstream_changes_nothing() {
+    let (mut world, busy) = with_running_tasks();
+    let name = world.report_of(busy).name;
+    let report = UpstreamReport { name, ..with_address_of(&world, busy, "backup-agent") };
+    world.send_foreign_heartbeat(report);
+    assert_nothing_ran_twice(world);
+}
+
+/// Guards against upstreams that are not used because they reported before their pool was in the catalog.
+#[test]
+fn upstream_whose_pool_the_catalog_lacks_is_registered_once_it_has_the_pool() {
+    let mut world = World::new(1, Faults::default());
+    let report = UpstreamReport {
+        address: "127.0.0.1:8999".parse().expect("an address"),
+        ..with_address_of(&world, 0, "later")
+    };
+    world.send_foreign_heartbeat(report.clone());
+    world.run(100);
+    assert!(!world.registered().contains(&"backup-1"), "its pool is unknown");
+    world.add_pool("later");
+    world.run(100);
+    world.send_foreign_heartbeat(report);
+    world.run(100);
+    assert!(world.registered().contains(&"backup-1"));
+}
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -405,6 +405,18 @@
         self.send_heartbeat(report, ClockReading(1_000));
     }
 
+    /// Makes the operators add a pool to the catalog.
+    pub fn add_pool(&mut self, name: &str) {
+        let mut catalog = self.catalog();
+        catalog.version += 10;
+        let pool = PoolSpec {
+            name: PoolName::new(name).expect("a good name"),
+            ..catalog.pools[0].clone()
+        };
+        catalog.pools.push(pool);
+        self.request(None, WorkflowRequest::PutCatalog(catalog));
+    }
+
     /// Crashes an upstream and starts another one at its address at once, which reports itself.
     pub fn replace_upstream(&mut self, number: u32, successor: &str, incarnation: Incarnation) {
         self.crash(&name(number));
