hg_control: a leave request without an incarnation ends only an upstream that drains

What could be seen: a leave request that a partition held up, of a worker that has started again under its id since, ended the present incarnation. Its tasks ran on two upstreams at once, and it got no more work.

Cause: the platform's leave request names no incarnation, so the registered one was taken for its sender.

Change: each upstream reports that it drains before it leaves. A leave request that names no incarnation ends the registered one only if that has reported it. Otherwise the upstream is asked for its runs at once: if it is gone, it does not answer and gets no more work.

Test: leave_request_of_an_upstream_that_does_not_drain_ends_no_run failed before ('job-0.0.0.1 run 2 at u1 runs twice'); leave_request_of_an_upstream_that_drains_ends_its_registration passed before.

--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -307,7 +307,15 @@
         let Some(known) = known.filter(|k| incarnation.is_none_or(|i| i == k.incarnation)) else {
             return Some(WorkflowReply::Noted);
         };
+        let is_announced = known.leaving || incarnation.is_some();
         let (incarnation, cause) = (known.incarnation, DepartureCause::Left);
+        if !is_announced {
+            // It may be that of an earlier incarnation, on its way since. Whether the present one runs, it says itself.
+            info!(self.log, "workflow: leave request without an incarnation or a drain before";
+                "event" => "leave.doubtful", "upstream" => %name, "incarnation" => incarnation.0);
+            self.workflow_leadership.as_mut()?.sessions.check_incarnation(&name);
+            return Some(WorkflowReply::Noted);
+        }
         let departure = Departure { upstream: name, incarnation, cause };
         let command = self.deregistration(now, &departure)?;
         self.propose_workflow(now, ticket, command, WorkflowReplyKind::Noted)
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -223,6 +223,13 @@
         Some(session)
     }
 
+    /// Asks an upstream for its runs, since its incarnation may have ended; it gets no start before it has listed them.
+    pub(super) fn check_incarnation(&mut self, name: &UpstreamName) {
+        if let Some(session) = self.touched(name) {
+            session.await_initial_listing();
+        }
+    }
+
     /// Records that an incarnation has crashed. Returns whether that is new, or may have been lost.
     pub(super) fn record_crash(
         &mut self,
--- a/crates/hg_control/tests/foreign_reports/mod.rs
+++ b/crates/hg_control/tests/foreign_reports/mod.rs
@@ -119,3 +119,24 @@
     world.run(100);
     assert!(world.registered().contains(&"backup-1"));
 }
+
+/// Guards against a leave request of an earlier incarnation that arrives late and ends the present one.
+#[test]
+fn leave_request_of_an_upstream_that_does_not_drain_ends_no_run() {
+    let (mut world, busy) = with_running_tasks();
+    world.send_foreign_leave(busy);
+    assert_nothing_ran_twice(world);
+}
+
+/// Guards against an upstream that stays registered although it has drained and left.
+#[test]
+fn leave_request_of_an_upstream_that_drains_ends_its_registration() {
+    let (mut world, _) = with_running_tasks();
+    let idle = (0..6).find(|number| world.busy().all(|busy| busy != *number)).expect("three run");
+    let draining = UpstreamReport { leaving: true, ..world.report_of(idle) };
+    world.send_foreign_heartbeat(draining);
+    world.run(100);
+    world.send_foreign_leave(idle);
+    world.run(100);
+    assert!(!world.registered().contains(&format!("u{idle}").as_str()));
+}
--- a/crates/hg_control/tests/workflow_world/world.rs
+++ b/crates/hg_control/tests/workflow_world/world.rs
@@ -405,6 +405,13 @@
         self.send_heartbeat(report, ClockReading(1_000));
     }
 
+    /// Sends a leave request with the name of an upstream that names no incarnation.
+    pub fn send_foreign_leave(&mut self, number: u32) {
+        trace(self.now, &format!("foreign leave request of u{number}"));
+        let leave = WorkflowRequest::Leave { name: name(number), incarnation: None };
+        self.request(None, leave);
+    }
+
     /// Makes the operators add a pool to the catalog.
     pub fn add_pool(&mut self, name: &str) {
         let mut catalog = self.catalog();
