hg_control: an idle upstream no longer hides the one that is at its address

Cause: a heartbeat with an earlier start time than that of another upstream registered at its address counted as delayed, whoever is at the address. An idle upstream gets no orders, so nothing showed that it is gone until it had been silent for 60 s; a claim of another party that repeats itself hid the upstream for good.

Change: the registered upstream is asked for its runs. If the process at the address answers under another name, it is deregistered, and the next heartbeat of the other registers that one.

Test: upstream_with_an_earlier_start_time_than_another_one_at_its_address_is_registered failed before.

--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -265,8 +265,9 @@
         let earlier = known.filter(|known| known.incarnation < incarnation).cloned();
         let others = workflows.upstreams().values();
         let mut same_address = others.filter(|u| u.address == report.address && u.name != name);
-        if same_address.any(|other| other.incarnation > incarnation) {
-            // A delayed heartbeat of an incarnation that has ended.
+        if let Some(later) = same_address.find(|other| other.incarnation > incarnation) {
+            // A delayed heartbeat of an incarnation that has ended, unless the later one is not at this address.
+            leadership.sessions.check_incarnation(&later.name);
             return Some(WorkflowReply::Noted);
         }
         if let Some(ended) = earlier {
--- a/crates/hg_control/tests/foreign_reports/mod.rs
+++ b/crates/hg_control/tests/foreign_reports/mod.rs
@@ -14,6 +14,8 @@
 const LATER: Incarnation = Incarnation(1_000_000);
 /// How long a replaced upstream may stay registered, in milliseconds: a few messages and writes of the log.
 const REPLACED_WITHIN_MS: u64 = 200;
+/// Two heartbeats of an upstream and their answers, in milliseconds.
+const TWO_HEARTBEATS_MS: u64 = 3_200;
 
 /// A world with three tasks that run for much longer than what follows. Returns an upstream that runs some of them.
 fn with_running_tasks() -> (World, u32) {
@@ -140,3 +142,15 @@
     world.run(100);
     assert!(!world.registered().contains(&format!("u{idle}").as_str()));
 }
+
+/// Guards against an upstream that is not used while an idle one is registered at its address with a later start time: that of
+/// another party, or of an upstream whose clock was set back.
+#[test]
+fn upstream_with_an_earlier_start_time_than_another_one_at_its_address_is_registered() {
+    let mut world = World::new(1, Faults::default());
+    world.replace_upstream(0, "successor", Incarnation(0));
+    world.run(TWO_HEARTBEATS_MS);
+    let registered = world.registered();
+    assert!(registered.contains(&"successor"), "{registered:?}");
+    assert!(!registered.contains(&"u0"), "{registered:?}");
+}
