hg_control: a host's entry of an unknown pool hides no other entry of that host

Cause: the list of hosts was kept by name, the last entry counted. An entry of another party that names a host of a running wave with the state 'upkeep' began the host's upkeep for the leader, and had the upstream on it deregistered while it runs.

Change: entries of pools that the catalog lacks come first, so that each other entry of the host replaces them. A host with no other entry keeps the only one it has: its pool may have been taken out of the catalog while its wave runs.

Test: record_hosts_beside_an_entry_of_an_unknown_pool failed before ([(m-1, Begun)]).

--- a/crates/hg_control/src/workflow/platform_calls.rs
+++ b/crates/hg_control/src/workflow/platform_calls.rs
@@ -157,7 +157,13 @@
         let requested_at = self.listing_sent_at.take().unwrap_or(now);
         self.listed_at = Some(now);
         let Ok(HostListing { hosts, unreadable }) = listed else { return Vec::new() };
-        self.hosts = hosts.into_iter().map(|host| (host.name.clone(), host)).collect();
+        let is_known = |host: &HostReport| {
+            ledger.catalog().is_none_or(|catalog| catalog.pool(&host.pool).is_some())
+        };
+        // An entry of a pool that the catalog lacks may be another party's, and hides no other entry of the host.
+        let (known, foreign): (Vec<_>, Vec<_>) = hosts.into_iter().partition(is_known);
+        let by_name = foreign.into_iter().chain(known).map(|host| (host.name.clone(), host));
+        self.hosts = by_name.collect();
         let of_waves = ledger.waves().running().flat_map(|wave| wave.hosts.keys());
         let absent: BTreeSet<HostName> =
             of_waves.filter(|host| !self.hosts.contains_key(*host)).cloned().collect();
--- a/crates/hg_control/src/workflow/platform_calls/tests.rs
+++ b/crates/hg_control/src/workflow/platform_calls/tests.rs
@@ -1,9 +1,12 @@
 //! What the leader concludes from lists of hosts.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use hg_ledger::{UpkeepStage, WorkflowCommand, WorkflowLedger};
-use hg_model::{HostName, HostReport, HostState, PoolName, Term, Time, WaveNumber, WaveSpec};
+use hg_model::{
+    Catalog, HostName, HostReport, HostState, PoolName, PoolSpec, Term, Time, WaveNumber, WaveSpec,
+};
 
 use super::{HostListing, LIST_EVERY, PlatformCalls};
 
@@ -89,3 +92,35 @@
     assert!(found.contains(&(host(2), UpkeepStage::Gone)), "{found:?}");
     assert!(!found.iter().any(|(found, _)| *found == host(1)), "{found:?}");
 }
+
+/// Guards against an entry of another party, of a pool that the catalog lacks, that hides the entry of a host: the upstream there
+/// would be deregistered as if its host was down.
+#[test]
+fn record_hosts_beside_an_entry_of_an_unknown_pool() {
+    let (mut calls, mut ledger) = with_wave();
+    let pool = PoolSpec {
+        name: report(1, HostState::Up).pool,
+        enforces_capacity: true,
+        standby: false,
+        connections_max: 64,
+    };
+    ledger.apply(WorkflowCommand::PutCatalog(Catalog {
+        version: 1,
+        queues: Vec::new(),
+        pools: vec![pool],
+        accounts: Vec::new(),
+        document: Arc::from("{}"),
+    }));
+    let foreign = HostReport {
+        pool: PoolName::new("backup").expect("a valid name"),
+        ..report(1, HostState::Upkeep)
+    };
+    let up = [report(1, HostState::Up), report(2, HostState::Up)];
+    let after = [&up[..], std::slice::from_ref(&foreign)].concat();
+    let before = [std::slice::from_ref(&foreign), &up[..]].concat();
+    for (round, hosts) in (1..).zip([after, before]) {
+        let listing = HostListing { hosts, unreadable: Vec::new() };
+        let now = Time(0).after(LIST_EVERY * round);
+        assert_eq!(stages(&mut calls, &ledger, now, listing), [], "round {round}");
+    }
+}
