hg_control: log rounds of decisions that take half of the lease

A round that takes half of the leader's lease or more now writes round.slow with its duration and the number of steps that it considered.

--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -10,7 +10,7 @@
     WorkflowScheduler,
 };
 use hg_replica::Disk;
-use slog::{Logger, debug, info};
+use slog::{Logger, debug, info, warn};
 
 use super::account_shares;
 use super::broken_gangs::BrokenGangs;
@@ -191,7 +191,14 @@
         fleet.is_advice_busy = leadership.platform_calls.is_advice_busy(now);
         let started = Instant::now();
         let decisions = leadership.scheduler.decide(now, ledger, &fleet);
-        telemetry::record_round(started.elapsed());
+        let took = started.elapsed();
+        telemetry::record_round(took);
+        if took >= self.cfg.timing.lease / 2 {
+            warn!(self.log, "workflow: slow round of decisions"; "event" => "round.slow",
+                "took_ms" => millis(took), "ready_steps" => decisions.ready_steps,
+                "jobs" => ledger.jobs().len(),
+                "starts" => decisions.starts.len());
+        }
         telemetry::record_starts(decisions.starts.len());
         telemetry::record_forecast(&leadership.scheduler);
         let jobs: BTreeSet<_> = decisions.starts.iter().map(|start| &start.task.step.job).collect();
--- a/crates/hg_policy/src/workflow/scheduler.rs
+++ b/crates/hg_policy/src/workflow/scheduler.rs
@@ -107,6 +107,8 @@
     pub contention: ContentionReport,
     /// Steps that have waited for long, from time to time.
     pub waiting: Vec<WaitingStep>,
+    /// The number of steps that could start, as far as the round has considered them.
+    pub ready_steps: usize,
 }
 
 /// Decides which tasks start where and which runs are stopped.
@@ -428,6 +430,7 @@
         round.runs.record_stops(self.stopping.iter());
         let mut ready = self.ready(&round);
         self.order_by_shares(&mut ready, &mut round);
+        round.decisions.ready_steps = ready.len();
         let suspects = take_suspects(&round.guard, ledger, &mut ready);
         self.holds.drop_expired(now, &ready, &round.capacity);
         self.holds.apply_to(&mut round.capacity);
