hg_policy: a round considers a bounded number of overdue occurrences

Cause: each overdue occurrence counted in each round, up to 10,000 of each job.

Change: a round considers at most 4,096 tasks of occurrences that have not begun, shared by the jobs that are behind, in the order in which they would be served; the next round takes the next. Occurrences of one job differ in their due time only, so nothing that could start now is left out as long as the pool has less room than that.

--- a/crates/hg_ledger/src/workflow/record.rs
+++ b/crates/hg_ledger/src/workflow/record.rs
@@ -1,6 +1,7 @@
 //! The state of one workflow, its steps and its tasks.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 
 use hg_model::{
     AccountName, AdviceTiming, Checkpoint, PoolName, QueueName, QueueSpec, RunNumber, StepSpec,
@@ -242,6 +243,20 @@
         self.occurrences.get(&number)
     }
 
+    /// How many occurrences have begun; those that are done count.
+    pub fn begun_count(&self) -> usize {
+        self.occurrences.len() + self.finished.len()
+    }
+
+    /// The occurrences in a range that have not begun, the earliest first.
+    pub fn not_begun(&self, range: Range<u32>) -> impl Iterator<Item = u32> {
+        let mut open = self.occurrences.range(range.clone()).map(|(number, _)| *number).peekable();
+        let mut done = self.finished.range(range.clone()).copied().peekable();
+        range.filter(move |number| {
+            open.next_if_eq(number).is_none() && done.next_if_eq(number).is_none()
+        })
+    }
+
     /// Whether every occurrence is done.
     pub fn is_done(&self) -> bool {
         u32::try_from(self.finished.len()).is_ok_and(|done| done >= self.spec.occurrences())
--- a/crates/hg_policy/src/workflow/ready_steps.rs
+++ b/crates/hg_policy/src/workflow/ready_steps.rs
@@ -6,10 +6,13 @@
 
 use std::cmp::{Ordering, Reverse};
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::time::Duration;
 
 use hg_ledger::{Occurrence, StepRecord, TaskState, Workflow, WorkflowLedger};
-use hg_model::{AdviceTiming, JobId, PoolName, RunNumber, StepId, StepSpec, Time, UpstreamName};
+use hg_model::{
+    AdviceTiming, JobId, PoolName, RunNumber, Schedule, StepId, StepSpec, Time, UpstreamName,
+};
 
 use super::queue_settings::QueueSettings;
 use super::run_times::{Chances, RunTimes};
@@ -28,6 +31,9 @@
 /// Once a workflow has this many tasks that may start, its later occurrences wait for the earlier ones. As many as a single
 /// occurrence may have.
 const WAITING_MAX: usize = 10_000;
+/// Most tasks that a round considers of occurrences that have not begun, over all scheduled workflows; those with overdue
+/// occurrences share it. A round has to end well within the leader's lease, however far the schedules are behind.
+const NOT_BEGUN_MAX: usize = 4_096;
 
 /// Whether a job can still end within its latency objective.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -134,11 +140,13 @@
     run_times: &RunTimes,
 ) -> Vec<ReadyStep<'a>> {
     let mut ready = Vec::new();
-    for (id, job) in ledger.jobs() {
-        if job.is_active() {
-            let cx = RankContext { now, is_covered: covered.contains(id), run_times };
-            collect_ready(&cx, queues, id, job, &mut ready);
-        }
+    let active = || ledger.jobs().iter().filter(|(_, job)| job.is_active());
+    let is_behind = |job: &Workflow| job.spec.schedule.is_some() && overdue_count(now, job) > 0;
+    let behind = active().filter(|(_, job)| is_behind(job)).count();
+    let not_begun_max = (NOT_BEGUN_MAX / behind.max(1)).max(1);
+    for (id, job) in active() {
+        let cx = RankContext { now, is_covered: covered.contains(id), run_times };
+        collect_ready(&cx, queues, (id, job), not_begun_max, &mut ready);
     }
     ready.sort_by(ReadyStep::order);
     ready
@@ -152,58 +160,104 @@
     run_times: &'a RunTimes,
 }
 
+/// When an occurrence is due.
+fn due(job: &Workflow, number: u32) -> Time {
+    job.spec.schedule.map_or(job.accepted_at, |schedule| Time(schedule.due_ms(number)))
+}
+
+/// How many occurrences are due at `now`, whether they have begun or not.
+fn due_count(now: Time, job: &Workflow) -> u32 {
+    let Some(Schedule { first_due_ms, period_ms, .. }) = job.spec.schedule else { return 1 };
+    let Some(since_first) = now.0.checked_sub(first_due_ms) else { return 0 };
+    let count = since_first.checked_div(period_ms).map_or(u64::MAX, |passed| passed + 1);
+    u32::try_from(count).unwrap_or(u32::MAX).min(job.spec.occurrences())
+}
+
+/// The number of occurrences that are due and have not begun.
+fn overdue_count(now: Time, job: &Workflow) -> usize {
+    let due = usize::try_from(due_count(now, job)).unwrap_or(usize::MAX);
+    due.saturating_sub(job.begun_count())
+}
+
+/// Adds the steps of a workflow that may start: those of all occurrences that have begun, and those of the occurrences
+/// that come next, until these have `not_begun_max` tasks.
 fn collect_ready<'a>(
     cx: &RankContext<'_>,
     queues: &QueueSettings<'a>,
-    id: &JobId,
-    job: &'a Workflow,
+    (id, job): (&JobId, &'a Workflow),
+    not_begun_max: usize,
     ready: &mut Vec<ReadyStep<'a>>,
 ) {
-    let (pool, advice) = (queues.pool(job), queues.advice(job));
     let mut waiting_count = 0;
-    for number in 0..job.spec.occurrences() {
+    for number in job.occurrences.keys() {
         if waiting_count >= WAITING_MAX {
             return;
         }
-        let due = match job.spec.schedule {
-            Some(schedule) => Time(schedule.due_ms(number)),
-            None => job.accepted_at,
-        };
-        if job.spec.schedule.is_some() && due > cx.now {
-            return;
+        waiting_count += collect_occurrence(cx, queues, (id, job), *number, ready);
+    }
+    let not_begun_max = not_begun_max.min(WAITING_MAX.saturating_sub(waiting_count));
+    let mut not_begun_count = 0;
+    for range in ranges_in_order(cx, job, not_begun_max) {
+        for number in job.not_begun(range) {
+            if not_begun_count >= not_begun_max {
+                return;
+            }
+            not_begun_count += collect_occurrence(cx, queues, (id, job), number, ready);
         }
-        if job.finished.contains(&number) {
+    }
+}
+
+/// The occurrences that are due, in ranges of the same outlook, best first. The outlook gets worse with the time since an
+/// occurrence was due, so each range is in the order of [`Rank`]. A single range if all may be considered.
+fn ranges_in_order(cx: &RankContext<'_>, job: &Workflow, not_begun_max: usize) -> [Range<u32>; 3] {
+    let due_count = due_count(cx.now, job);
+    let tasks: u32 = job.spec.steps.iter().map(|step| step.tasks).sum();
+    let overdue_count = overdue_count(cx.now, job);
+    let all = overdue_count.saturating_mul(usize::try_from(tasks).unwrap_or(usize::MAX));
+    if overdue_count <= 1 || all <= not_begun_max {
+        return [0..due_count, 0..0, 0..0];
+    }
+    let first_with = |worst: Outlook| {
+        let (mut low, mut high) = (0, due_count);
+        while low < high {
+            let middle = low + (high - low) / 2;
+            let outlook = rank(cx, job, None, due(job, middle)).outlook;
+            if outlook <= worst { high = middle } else { low = middle + 1 }
+        }
+        low
+    };
+    let (on_time, late) = (first_with(Outlook::OnTime), first_with(Outlook::Late));
+    [on_time..due_count, late..on_time, 0..late]
+}
+
+/// Adds the steps of an occurrence that may start. Returns the number of their tasks.
+fn collect_occurrence<'a>(
+    cx: &RankContext<'_>,
+    queues: &QueueSettings<'a>,
+    (id, job): (&JobId, &'a Workflow),
+    number: u32,
+    ready: &mut Vec<ReadyStep<'a>>,
+) -> usize {
+    let (pool, advice) = (queues.pool(job), queues.advice(job));
+    let (due, occurrence) = (due(job, number), job.occurrence(number));
+    let mut known_rank = None;
+    let mut waiting_count = 0;
+    for (step, spec) in (0_u32..).zip(&job.spec.steps) {
+        let waiting = waiting_tasks(spec, step, occurrence);
+        if waiting.is_empty() {
             continue;
         }
-        let occurrence = job.occurrence(number);
-        let mut known_rank = None;
-        for (step, spec) in (0_u32..).zip(&job.spec.steps) {
-            let waiting = waiting_tasks(spec, step, occurrence);
-            if waiting.is_empty() {
-                continue;
-            }
-            let record = occurrence.and_then(|o| o.steps.get(usize::try_from(step).ok()?));
-            if record.is_some_and(|record| !record.can_run_again(job.terms.attempts)) {
-                continue;
-            }
-            waiting_count += waiting.len();
-            let rank = *known_rank.get_or_insert_with(|| rank(cx, job, occurrence, due));
-            let id = StepId { job: id.clone(), occurrence: number, step };
-            let allowed = None;
-            ready.push(ReadyStep {
-                id,
-                job,
-                spec,
-                pool,
-                advice,
-                record,
-                waiting,
-                rank,
-                due,
-                allowed,
-            });
+        let record = occurrence.and_then(|o| o.steps.get(usize::try_from(step).ok()?));
+        if record.is_some_and(|record| !record.can_run_again(job.terms.attempts)) {
+            continue;
         }
+        waiting_count += waiting.len();
+        let rank = *known_rank.get_or_insert_with(|| rank(cx, job, occurrence, due));
+        let id = StepId { job: id.clone(), occurrence: number, step };
+        let allowed = None;
+        ready.push(ReadyStep { id, job, spec, pool, advice, record, waiting, rank, due, allowed });
     }
+    waiting_count
 }
 
 fn waiting_tasks(spec: &StepSpec, step: u32, occurrence: Option<&Occurrence>) -> Vec<u32> {
--- a/crates/hg_policy/tests/workflow/main.rs
+++ b/crates/hg_policy/tests/workflow/main.rs
@@ -16,5 +16,6 @@
 mod queue_moves;
 mod replay;
 mod run_times;
+mod schedules;
 mod starts_and_stops;
 mod upkeep_advice_pace;
