hg_control: an upstream that was silent for long is used again when it is back

Cause: an upstream that is silent for 60 s and runs nothing is deregistered, and the leader took each deregistration for the end of the incarnation, whose heartbeats it then ignores.

Change: a deregistration for silence alone ends no incarnation. The next heartbeat registers it, and it is asked for its runs and ends first.

--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -180,6 +180,8 @@
     /// Whether it has listed its runs since it last left an order unanswered, which shows that this incarnation is still
     /// running.
     is_incarnation_confirmed: bool,
+    /// Whether it is being deregistered for its silence alone: cut off for long, it may return.
+    pub(super) is_only_silent: bool,
     /// Since when it was silent when a later incarnation answered in its place.
     ended_at: Option<Time>,
     /// When it was last recorded that this incarnation has crashed.
@@ -234,6 +236,7 @@
             unanswered_in_a_row: 0,
             unanswered_since: None,
             is_incarnation_confirmed: true,
+            is_only_silent: false,
             ended_at: None,
             crash_recorded_at: None,
             retry_at: Time(0),
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -58,6 +58,8 @@
     sessions: BTreeMap<UpstreamName, Session>,
     /// Incarnations that have ended; late messages from them are ignored.
     departed: BTreeMap<UpstreamName, Incarnation>,
+    /// Incarnations that were deregistered for their silence alone, and may return.
+    silent: BTreeMap<UpstreamName, Incarnation>,
     /// Clock readings that arrived before their upstream's registration was in the log.
     early_clocks: BTreeMap<UpstreamName, (Incarnation, ClockReading, Time)>,
     /// Until when upstreams are cold, by their last heartbeats.
@@ -153,6 +155,7 @@
             bounds,
             sessions: BTreeMap::new(),
             departed: BTreeMap::new(),
+            silent: BTreeMap::new(),
             early_clocks: BTreeMap::new(),
             cold_until: BTreeMap::new(),
             next_order: 1,
@@ -201,6 +204,10 @@
         if is_contested {
             session.await_address();
         }
+        if self.silent.remove(&report.name) == Some(report.incarnation) {
+            // Ends from before may still wait there for their acknowledgement.
+            session.await_initial_listing();
+        }
         let earlier = self.sessions.get(&report.name);
         if let Some((incarnation, clock, at)) = self.early_clocks.remove(&report.name)
             && incarnation == report.incarnation
@@ -244,7 +251,8 @@
     /// Handles the deregistration of an upstream.
     pub(crate) fn close(&mut self, name: &UpstreamName) {
         if let Some(session) = self.sessions.remove(name) {
-            self.departed.insert(name.clone(), session.incarnation);
+            let ended = if session.is_only_silent { &mut self.silent } else { &mut self.departed };
+            ended.insert(name.clone(), session.incarnation);
             self.cold_until.remove(name);
         }
     }
@@ -418,6 +426,7 @@
             dispatch.send_renewal(session, ledger);
             if now >= session.last_contact.after(DEREGISTER_AFTER) && session.runs.is_empty() {
                 session.last_contact = now;
+                session.is_only_silent = true;
                 work.departures.push(session.departure(name, DepartureCause::Silent));
             }
             session.record_visit(now);
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -300,6 +300,21 @@
     assert_eq!(world.running(), 3, "the gang has restarted on the other upstreams");
 }
 
+/// Guards against an upstream that was cut off for so long that it was deregistered, and is not used when it is back.
+#[test]
+fn upstream_that_was_cut_off_for_more_than_a_minute_is_used_again() {
+    let mut world = World::with_fleet(1, Faults::default(), WorkflowBounds::default(), 1);
+    world.submit(0);
+    world.run(100);
+    world.set_disconnected(0, true);
+    world.run(63_000);
+    assert!(world.registered().is_empty(), "it was silent for over 60 s");
+    world.set_disconnected(0, false);
+    world.run(3_000);
+    assert_eq!(world.registered(), ["u0"]);
+    settle(world);
+}
+
 #[test]
 fn heartbeat_with_the_largest_clock_reading_ends_no_leader() {
     let mut world = World::new(1, Faults::default());
