hg_policy: guaranteed work preempts long-running tasks where nothing else is enough

Cause: preemption had no cost for long-running tasks, so no plan held them.

Change: work that a guarantee covers may preempt long-running tasks of a lower priority whose step states no limit on unavailable tasks, at a cost above that of all other work. Steps with such a limit keep it.

--- a/crates/hg_policy/src/workflow/preemption.rs
+++ b/crates/hg_policy/src/workflow/preemption.rs
@@ -23,6 +23,10 @@
 /// The cost of running outside the best rack, in run times of the step.
 const REMOTE_COST: u64 = 2;
 
+/// What stopping a long-running task costs beside its restore, in milliseconds of its work: more than other work, which is
+/// preempted first.
+const LONG_RUNNING_COST_MS: u64 = 24 * 60 * 60 * 1_000;
+
 /// Costs up to this factor apart are comparable: the work of an account beyond its fair share is stopped before
 /// other work that costs as little as this part of it.
 const COMPARABLE_COST: u64 = 2;
@@ -104,15 +108,24 @@
             && !self.covered.contains(&row.task.step.job)
     }
 
-    /// The work that stopping a run throws away, in thousandths of a core times milliseconds; `None` if
-    /// the run may not be stopped because it is long-running. Even if all progress is saved, the task has
-    /// to be restored. Work of an account beyond its fair share counts as less.
-    fn cost(&self, row: &RunRow<'_>) -> Option<u64> {
-        let (job, spec) = row.work.filter(|(_, spec)| !spec.long_running)?;
+    /// The work that stopping a run for a step throws away, in thousandths of a core times milliseconds; `None` if
+    /// the run may not be stopped. Even if all progress is saved, the task has to be restored. Work of an
+    /// account beyond its fair share counts as less.
+    ///
+    /// A long-running task of a step without a limit on unavailable tasks gives way to work that a guarantee
+    /// covers: what an account is guaranteed is lent to others for as long as the account leaves it idle.
+    fn cost(&self, step: &ReadyStep<'_>, row: &RunRow<'_>) -> Option<u64> {
+        let (job, spec) = row.work?;
+        if spec.long_running && (spec.max_unavailable > 0 || !step.is_covered()) {
+            return None;
+        }
         let elapsed = self.now.since(row.open.since);
-        let progress = if spec.checkpointable { Duration::ZERO } else { elapsed };
+        let keeps_progress = spec.checkpointable || spec.long_running;
+        let progress = if keeps_progress { Duration::ZERO } else { elapsed };
         let lost = progress.saturating_add(self.bounds.restore);
         let lost_ms = u64::try_from(lost.as_millis()).unwrap_or(u64::MAX);
+        let lost_ms =
+            lost_ms.saturating_add(if spec.long_running { LONG_RUNNING_COST_MS } else { 0 });
         let cost = lost_ms.saturating_mul(spec.per_task.weight());
         let is_beyond = |shares: &Shares<'_>| shares.is_beyond(job.account.as_ref());
         Some(if self.shares.is_some_and(is_beyond) { cost / COMPARABLE_COST } else { cost })
@@ -137,7 +150,9 @@
                 }
                 continue;
             }
-            let Some(cost) = cx.cost(row).filter(|_| cx.may_stop(step, row)) else { continue };
+            let Some(cost) = cx.cost(step, row).filter(|_| cx.may_stop(step, row)) else {
+                continue;
+            };
             if row.is_gang() {
                 let victim = gangs.entry(&row.task.step);
                 let victim = victim.or_insert_with(|| Victim { rows: Vec::new(), cost: 0 });
--- a/crates/hg_policy/tests/workflow/starts_and_stops.rs
+++ b/crates/hg_policy/tests/workflow/starts_and_stops.rs
@@ -321,6 +321,47 @@
     assert_eq!(runs.len(), 4);
 }
 
+/// The starts and stops of guaranteed work that arrives in a pool full of long-running tasks of a lower priority.
+fn claim_beside_long_running(max_unavailable: u32, guaranteed: u32) -> Vec<RunRef> {
+    let mut harness = Harness::new(1, 4);
+    harness.guarantee(&[("other", guaranteed)]);
+    let long_running =
+        StepSpec { long_running: true, max_unavailable, gang: false, ..gang_step(4) };
+    harness.submit_for("idle", "lasting", 2, vec![long_running]);
+    assert_eq!(harness.round(1).starts.len(), 4, "the pool is full");
+    harness.submit_for("other", "claim", 0, vec![gang_step(2)]);
+    stopped_runs(harness.round(100))
+}
+
+/// Guards against guaranteed accelerators that cannot be claimed while others' long-running tasks use them (review/3).
+#[test]
+fn guaranteed_work_preempts_long_running_tasks() {
+    assert_eq!(claim_beside_long_running(0, 16).len(), 2);
+}
+
+/// Guards against stops of long-running tasks for work that no guarantee covers, or of a step that limits how many of its tasks
+/// may be unavailable.
+#[test]
+fn long_running_tasks_are_preempted_for_nothing_else() {
+    assert_eq!(claim_beside_long_running(0, 0), []);
+    assert_eq!(claim_beside_long_running(1, 16), []);
+}
+
+/// Guards against long-running tasks that are stopped although other work could be.
+#[test]
+fn long_running_tasks_are_preempted_last() {
+    let mut harness = Harness::new(1, 4);
+    harness.guarantee(&[("other", 16)]);
+    let long_running = StepSpec { long_running: true, gang: false, ..gang_step(2) };
+    harness.submit_for("idle", "lasting", 2, vec![long_running]);
+    harness.submit_for("idle", "batch", 1, vec![StepSpec { gang: false, ..gang_step(2) }]);
+    assert_eq!(harness.round(1).starts.len(), 4, "the pool is full");
+    harness.submit_for("other", "claim", 0, vec![gang_step(2)]);
+    let stops = stopped_runs(harness.round(60_000));
+    assert_eq!(stops.len(), 2);
+    assert!(stops.iter().all(|stop| stop.task.step.job.as_str() == "batch"), "{stops:?}");
+}
+
 /// A deployment may promise guaranteed capacity sooner or later than the default: the latest moment to preempt
 /// follows its bounds, with time for two stops.
 #[test]
