--- a/crates/hg_control/src/workflow/platform_calls.rs
+++ b/crates/hg_control/src/workflow/platform_calls.rs
@@ -139,8 +139,8 @@
         self.moves.extend(moves.into_iter().map(|HostMove { host, pool }| (host, pool)));
     }
 
-    /// Whether an upstream has ended, given that its host was taken down. One that was not there when the order was decided may be the
-    /// next on the host: the order, or the answer to it, may have been on its way for long.
+    /// Whether an upstream has ended, given that the order to take its host down was carried out. An upstream that was not there
+    /// when the order was decided may have joined after it was carried out: the answer may be late.
     pub(crate) fn is_ended_by_order(
         &self,
         host: &HostName,
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -284,8 +284,8 @@
         )
     }
 
-    /// Whether the pool of a heartbeat is in the catalog in force, or was when the same incarnation was registered. Before
-    /// the first catalog, any pool may be one of it.
+    /// Whether the pool of a heartbeat is in the catalog in force, or was when the same incarnation was registered. Every
+    /// pool counts as known before the first catalog.
     fn has_known_pool(&self, report: &UpstreamReport) -> bool {
         let workflows = self.ledger.workflows();
         let is_same = |known: &UpstreamReport| {
@@ -311,8 +311,8 @@
         let is_announced = known.leaving || incarnation.is_some();
         let (incarnation, cause) = (known.incarnation, DepartureCause::Left);
         if !is_announced {
-            // It may be that of an earlier incarnation, on its way since. Whether the present one runs, it says itself.
-            info!(self.log, "workflow: leave request without an incarnation or a drain before";
+            // It may come from an earlier incarnation under the same name, so the present one is asked.
+            info!(self.log, "workflow: leave request names no incarnation, and the upstream does not drain";
                 "event" => "leave.doubtful", "upstream" => %name, "incarnation" => incarnation.0);
             self.workflow_leadership.as_mut()?.sessions.check_incarnation(&name);
             return Some(WorkflowReply::Noted);
--- a/crates/hg_control/src/workflow/session.rs
+++ b/crates/hg_control/src/workflow/session.rs
@@ -180,7 +180,7 @@
     /// Whether it has listed its runs since it last left an order unanswered, which shows that this incarnation is still
     /// running.
     is_incarnation_confirmed: bool,
-    /// Whether it is being deregistered for its silence alone: cut off for long, it may return.
+    /// Whether it is being deregistered for its silence alone. It may only be cut off, and return.
     pub(super) is_only_silent: bool,
     /// Since when it was silent when a later incarnation answered in its place.
     ended_at: Option<Time>,
@@ -443,14 +443,14 @@
         self.is_incarnation_confirmed = false;
     }
 
-    /// Handles that another upstream is registered at its address: the next listing tells which of them is there.
-    pub(super) const fn await_address(&mut self) {
+    /// Asks for the runs at once, since another upstream is registered at the same address: only one of them can answer there.
+    pub(super) const fn await_address_check(&mut self) {
         self.is_address_contested = true;
         self.await_initial_listing();
     }
 
     /// Whether it has listed its runs since another upstream was found at its address.
-    pub(super) const fn has_won_address(&self) -> bool {
+    pub(super) const fn has_confirmed_address(&self) -> bool {
         self.is_address_contested && self.is_incarnation_confirmed
     }
 
--- a/crates/hg_control/src/workflow/sessions.rs
+++ b/crates/hg_control/src/workflow/sessions.rs
@@ -202,7 +202,7 @@
         let mut session =
             Session::new(now, report.incarnation, report.address, self.bounds.lease_max);
         if is_contested {
-            session.await_address();
+            session.await_address_check();
         }
         if self.silent.remove(&report.name) == Some(report.incarnation) {
             // Ends from before may still wait there for their acknowledgement.
@@ -458,7 +458,7 @@
         if session.pending_renewal == Some(id) {
             session.pending_renewal = None;
             on_renewal(now, id, &upstream, session, result, work);
-            if session.has_won_address() {
+            if session.has_confirmed_address() {
                 session.is_address_contested = false;
                 work.departures.extend(self.replaced_by(&upstream));
             }
