Crowd tests: clients that do not behave, at every address that strangers reach

The tests start the real programs on loopback with lowered limits (MemoryMb and MaxFds in the platform's settings, the limit on open files and held_bytes for the product's own processes), send a small crowd to one address, and check that no process ends, that memory with unread bytes and descriptors stay below their bounds, and that ordinary requests are answered beside the crowd and after it. The crowds: heads over the limit and without end, empty lines without end, bodies of legal size at once and in pieces, chunked bodies in large and in very small chunks, most of them stopping short of their end; beside those, chunk extensions, trailers, responses that are not read, and silence.

--- a/crates/hg_e2e/src/deployment.rs
+++ b/crates/hg_e2e/src/deployment.rs
@@ -12,7 +12,7 @@
 use eyre::{WrapErr as _, ensure, eyre};
 use hg_link::KeyFolder;
 use hg_model::HostName;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, kill_process, setrlimit};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::time::sleep;
@@ -39,6 +39,8 @@
     /// Where the control processes serve HTTP.
     control_http: Vec<SocketAddr>,
     entry_http: Vec<SocketAddr>,
+    /// Files that each process may have open; `None` if the limit is that of the test.
+    files_max: Option<u64>,
     children: BTreeMap<String, Child>,
 }
 
@@ -63,7 +65,21 @@
     ///
     /// If a process cannot be started, or the upstreams or the lists are not accepted.
     pub async fn start(upstreams: usize) -> eyre::Result<Self> {
-        let mut deployment = Self::prepare()?;
+        Self::start_with(upstreams, "", None).await
+    }
+
+    /// The same with further lines in the settings of the entries, and with a limit on the files that each process may open.
+    ///
+    /// # Errors
+    ///
+    /// As [`Deployment::start`].
+    pub async fn start_with(
+        upstreams: usize,
+        entry_settings: &str,
+        files_max: Option<u64>,
+    ) -> eyre::Result<Self> {
+        let mut deployment = Self::prepare(entry_settings)?;
+        deployment.files_max = files_max;
         for n in 0..HOSTS {
             deployment.start_control(n)?;
             deployment.start_entry(n)?;
@@ -78,7 +94,7 @@
     }
 
     /// Creates keys and settings files and founds the control group; starts no process.
-    fn prepare() -> eyre::Result<Self> {
+    fn prepare(entry_settings: &str) -> eyre::Result<Self> {
         let dir = tempfile::tempdir()?;
         let exe = std::env::current_exe()?;
         let bin = exe
@@ -93,13 +109,20 @@
         let control_links = free_ports(HOSTS, UdpSocket::bind);
         let mut control_http = free_ports(HOSTS * 2, TcpListener::bind);
         let entry_http = control_http.split_off(HOSTS);
-        let deployment =
-            Self { dir, bin, control_links, control_http, entry_http, children: BTreeMap::new() };
-        deployment.write_files()?;
+        let deployment = Self {
+            dir,
+            bin,
+            control_links,
+            control_http,
+            entry_http,
+            files_max: None,
+            children: BTreeMap::new(),
+        };
+        deployment.write_files(entry_settings)?;
         Ok(deployment)
     }
 
-    fn write_files(&self) -> eyre::Result<()> {
+    fn write_files(&self, entry_settings: &str) -> eyre::Result<()> {
         let mut names = Vec::new();
         for n in 0..HOSTS {
             names.push(HostName::new(format!("c{n}"))?);
@@ -117,7 +140,7 @@
             fs::write(self.dir.path().join(format!("c{n}.toml")), control)?;
             let entry = format!(
                 "name = \"e{n}\"\ndata_centre = \"north\"\nhttp = \"{}\"\ncontrols = {peers}\n\
-                 keys = \"{dir}/keys/e{n}\"\n",
+                 keys = \"{dir}/keys/e{n}\"\n{entry_settings}",
                 self.entry_http[n]
             );
             fs::write(self.dir.path().join(format!("e{n}.toml")), entry)?;
@@ -158,6 +181,16 @@
         Ok(command)
     }
 
+    /// Starts a program with the limit on open files. A process inherits the limit of the test, so that is lowered meanwhile.
+    fn spawn(&self, mut command: Command) -> eyre::Result<Child> {
+        let Some(files_max) = self.files_max else { return Ok(command.spawn()?) };
+        let own = getrlimit(Resource::Nofile);
+        setrlimit(Resource::Nofile, Rlimit { current: Some(files_max), ..own })?;
+        let child = command.spawn();
+        setrlimit(Resource::Nofile, own)?;
+        Ok(child?)
+    }
+
     /// Starts control process `n`.
     ///
     /// # Errors
@@ -165,7 +198,8 @@
     /// If it cannot be started.
     pub fn start_control(&mut self, n: usize) -> eyre::Result<()> {
         let name = format!("c{n}");
-        let child = self.program("heathergrade-control", &name)?.spawn().wrap_err("control")?;
+        let command = self.program("heathergrade-control", &name)?;
+        let child = self.spawn(command).wrap_err("control")?;
         self.children.insert(name, child);
         Ok(())
     }
@@ -177,7 +211,8 @@
     /// If it cannot be started.
     pub fn start_entry(&mut self, n: usize) -> eyre::Result<()> {
         let name = format!("e{n}");
-        let child = self.program("heathergrade-entry", &name)?.spawn().wrap_err("entry")?;
+        let command = self.program("heathergrade-entry", &name)?;
+        let child = self.spawn(command).wrap_err("entry")?;
         self.children.insert(name, child);
         Ok(())
     }
@@ -215,6 +250,41 @@
         .await
     }
 
+    /// Where entry `n` serves HTTP.
+    pub fn entry_address(&self, n: usize) -> SocketAddr {
+        self.entry_http[n]
+    }
+
+    /// Where control process `n` serves its pages.
+    pub fn control_address(&self, n: usize) -> SocketAddr {
+        self.control_http[n]
+    }
+
+    /// The id of a process.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such process.
+    pub fn pid(&self, name: &str) -> eyre::Result<u32> {
+        let child = self.children.get(name).ok_or_else(|| eyre!("no process {name}"))?;
+        Ok(child.id())
+    }
+
+    /// The names of the processes that have exited without being killed.
+    ///
+    /// # Errors
+    ///
+    /// If the system does not say.
+    pub fn exited(&mut self) -> eyre::Result<Vec<String>> {
+        let mut exited = Vec::new();
+        for (name, child) in &mut self.children {
+            if child.try_wait()?.is_some() {
+                exited.push(name.clone());
+            }
+        }
+        Ok(exited)
+    }
+
     /// A client of entry `n`.
     pub fn api(&self, n: usize) -> Api {
         Api::new(self.entry_http[n])
