hg_http: a server that bounds what clients make a control host hold

What callers saw: a crowd of strangers made a control host hold 168 to 284 MB where its settings allow 128 MB (195 MB at the product's own pages), and 339 descriptors where 300 are allowed; empty lines without end kept it busy so that heartbeats found no answer within 30 s.

Cause: the HTTP server in use sets no limit on the number of connections, on the length of a head beyond 400 KB, or on the time that a head, a body or an idle connection may take, and bodies of up to 16 MiB were collected for as many connections as came. An error of accept was retried at once, so a process without files spun and served nobody. An unfinished head was parsed again from its start with each read.

Change: hg_http accepts connections by itself and serves HTTP/1.1 with hyper. ConnectionTable, which knows no socket and no clock, decides: a connection at the limit replaces the one that has waited longest, first one that was never served; a body at the limit of memory replaces a stalled one, then a much larger and younger one; a request that was received in full is never given up. Heads, bodies, idle connections and unread responses have time limits. The system's buffers of each connection are small, and count. Limits follow MemoryMb and MaxFds of the platform's settings; the product's own programs have a section [server]. Refusals are counted by reason and logged once a second. HTTP/2 is not accepted any more: nothing here speaks it, and its streams would need limits of their own.

Why this works: the sum of connections, heads, unread bytes, bodies and responses is at most half of the memory, whatever clients do.

--- a/crates/hg_control/src/http.rs
+++ b/crates/hg_control/src/http.rs
@@ -1,15 +1,15 @@
 //! The HTTP server for metrics and health checks.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hg_http::{HttpLimits, Server};
 use hg_link::{Reply, Request};
 use metrics_exporter_prometheus::PrometheusHandle;
 use poem::http::StatusCode;
-use poem::listener::{Listener as _, TcpAcceptor, TcpListener};
 use poem::web::Data;
-use poem::{EndpointExt as _, Route, Server, get, handler};
+use poem::{EndpointExt as _, Route, get, handler};
+use slog::Logger;
 use tokio::sync::watch;
 
 use crate::core_loop::CoreHandle;
@@ -37,21 +37,22 @@
     }
 }
 
-/// An HTTP server whose address is bound.
-pub(crate) type MonitoringServer = Server<Infallible, TcpAcceptor>;
-
 /// Binds the address; called at the start, so that an address already in use fails the start.
-pub(crate) async fn bind(address: SocketAddr) -> std::io::Result<MonitoringServer> {
-    Ok(Server::new_with_acceptor(TcpListener::bind(address).into_acceptor().await?))
+pub(crate) fn bind(
+    address: SocketAddr,
+    limits: HttpLimits,
+    log: Logger,
+) -> std::io::Result<Server> {
+    Server::bind(address, limits, log)
 }
 
 /// Serves until `stop` is set.
 pub(crate) async fn serve(
-    server: MonitoringServer,
+    server: Server,
     core: CoreHandle,
     prometheus: PrometheusHandle,
     mut stop: watch::Receiver<bool>,
-) -> std::io::Result<()> {
+) {
     let app = Route::new()
         .at("/metrics", get(metrics_page))
         .at("/healthz", get(healthz))
@@ -62,5 +63,5 @@
         // The sender is dropped only when the process ends.
         drop(stop.wait_for(|stop| *stop).await);
     };
-    server.run_with_graceful_shutdown(app, stopped, Some(DRAIN_TIMEOUT)).await
+    server.run(app, stopped, DRAIN_TIMEOUT).await;
 }
--- a/crates/hg_control/src/lib.rs
+++ b/crates/hg_control/src/lib.rs
@@ -42,7 +42,7 @@
 pub use leader_watch::watch_leader;
 pub use links::{Drivers, JoiningReplica, request_membership};
 pub use metric::{METRICS, Metric, MetricKind, metrics_page};
-pub use run::{ControlParts, ControlProcess, files_limit, run, run_found};
+pub use run::{ControlParts, ControlProcess, run, run_found};
 pub use snapshot::{decode_ledger, encode_ledger};
 pub use workflow::{
     Advice, HostListing, HostOrder, HostOrderKind, HostOrderResult, Order, OrderId, OrderKind,
--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 52] = [
+pub const METRICS: [Metric; 55] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -308,6 +308,27 @@
         "runs",
         "Starts on another upstream than best fit's because of tasks that run there.",
     ),
+    metric(
+        "heathergrade_http_refused_total",
+        Counter,
+        "address; reason: connections, memory, long_head, malformed, slow_head, slow_body, idle, unread",
+        "connections",
+        "Connections of clients that were closed, and requests that were refused, before the request was received in full; idle ones included.",
+    ),
+    metric(
+        "heathergrade_http_connections",
+        Gauge,
+        "address",
+        "connections",
+        "Open connections of clients.",
+    ),
+    metric(
+        "heathergrade_http_buffered_bytes",
+        Gauge,
+        "address",
+        "bytes",
+        "Requests that are being received, whose bytes count twice, and responses that are being sent.",
+    ),
 ];
 
 /// Describes all metrics to the recorder, with meaning and unit.
--- a/crates/hg_control/src/run.rs
+++ b/crates/hg_control/src/run.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use eyre::{WrapErr as _, eyre};
+use hg_http::{HttpLimits, files_limit};
 use hg_link::{KeyFolder, LinkEndpoint};
 use hg_model::DataCentreName;
 use hg_policy::{WorkflowBounds, WorkflowPolicies};
@@ -73,7 +74,7 @@
     core: CoreHandle,
     endpoint: LinkEndpoint,
     core_thread: tokio::task::JoinHandle<std::thread::Result<Result<(), StorageError>>>,
-    http_server: tokio::task::JoinHandle<std::io::Result<()>>,
+    http_server: tokio::task::JoinHandle<()>,
     stop: watch::Sender<bool>,
     log: Logger,
 }
@@ -91,7 +92,8 @@
         describe_all();
         let keys = KeyFolder::new(&settings.keys);
         let endpoint = LinkEndpoint::listen(settings.listen, &keys).wrap_err("link endpoint")?;
-        let server = http::bind(settings.http).await.wrap_err("pages")?;
+        let limits = HttpLimits::from(settings.server).within_files(files_max);
+        let server = http::bind(settings.http, limits, log.clone()).wrap_err("pages")?;
         let storage = open_storage(&settings, &founders, log)?;
         let clock = Clock::new();
         let seed = getrandom::u64().map_err(|e| eyre!("random seed: {e}"))?;
@@ -160,7 +162,7 @@
             .wrap_err("core thread")?
             .map_err(|_| eyre!("the core panicked"))??;
         self.endpoint.close().await;
-        self.http_server.await.wrap_err("pages")?.wrap_err("pages")?;
+        self.http_server.await.wrap_err("pages")?;
         info!(self.log, "control: shut down"; "event" => "control.end");
         Ok(())
     }
@@ -195,12 +197,6 @@
     process.stop().await
 }
 
-/// The limit of the system on this process's open files.
-pub fn files_limit() -> usize {
-    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
-    limit.and_then(|limit| usize::try_from(limit).ok()).unwrap_or(usize::MAX)
-}
-
 fn core_config(parts: &ControlParts) -> CoreConfig {
     let settings = &parts.settings;
     let agreement = &settings.agreement;
--- a/crates/hg_control/tests/metric_table.rs
+++ b/crates/hg_control/tests/metric_table.rs
@@ -33,7 +33,10 @@
 #[test]
 fn metrics_match_code() {
     let mut files = Vec::new();
-    sources(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src"), &mut files);
+    // The server of the pages records its own.
+    for folder in ["src", "../hg_http/src"] {
+        sources(&Path::new(env!("CARGO_MANIFEST_DIR")).join(folder), &mut files);
+    }
     let mut recorded = BTreeSet::new();
     for file in files.iter().filter(|file| !file.ends_with("metric.rs")) {
         let text = fs::read_to_string(file).expect("the file can be read");
--- a/crates/hg_settings/src/control_settings.rs
+++ b/crates/hg_settings/src/control_settings.rs
@@ -8,7 +8,8 @@
 use serde::Deserialize;
 
 use crate::log::LOG_KEYS;
-use crate::{Key, LogSettings, Settings, SettingsError, SettingsFault, ValueKind};
+use crate::server_settings::SERVER_KEYS;
+use crate::{Key, LogSettings, ServerSettings, Settings, SettingsError, SettingsFault, ValueKind};
 
 /// The settings of `heathergrade-control`.
 #[derive(Debug, Clone, Deserialize)]
@@ -37,6 +38,9 @@
     /// Limits and timeouts of the scheduling policy.
     #[serde(default)]
     pub policy: PolicyConfig,
+    /// Limits of the HTTP server.
+    #[serde(default)]
+    pub server: ServerSettings,
     /// The log format and level.
     #[serde(default)]
     pub log: LogSettings,
@@ -282,6 +286,6 @@
     const PROGRAM: &'static str = "heathergrade-control";
 
     fn keys() -> Vec<Key> {
-        KEYS.into_iter().chain(LOG_KEYS).collect()
+        KEYS.into_iter().chain(SERVER_KEYS).chain(LOG_KEYS).collect()
     }
 }
--- a/crates/hg_settings/src/entry_settings.rs
+++ b/crates/hg_settings/src/entry_settings.rs
@@ -7,7 +7,8 @@
 use serde::Deserialize;
 
 use crate::log::LOG_KEYS;
-use crate::{Key, LogSettings, Settings, ValueKind};
+use crate::server_settings::SERVER_KEYS;
+use crate::{Key, LogSettings, ServerSettings, Settings, ValueKind};
 
 /// The settings of `heathergrade-entry`.
 #[derive(Debug, Clone, Deserialize)]
@@ -29,6 +30,9 @@
     /// Timeouts and limits of the communication with upstreams.
     #[serde(default)]
     pub upstreams: UpstreamSettings,
+    /// Limits of the HTTP server.
+    #[serde(default)]
+    pub server: ServerSettings,
     /// The log format and level.
     #[serde(default)]
     pub log: LogSettings,
@@ -228,6 +232,6 @@
     const PROGRAM: &'static str = "heathergrade-entry";
 
     fn keys() -> Vec<Key> {
-        KEYS.into_iter().chain(LOG_KEYS).collect()
+        KEYS.into_iter().chain(SERVER_KEYS).chain(LOG_KEYS).collect()
     }
 }
