hg_entry: the entry bounds what its clients make it hold

What callers saw: with 400 files a crowd of 440 connections kept every caller out, and bodies of 4 MiB from 48 clients, most of them never finished, took 180 to 250 MB. `limits.requests` counts requests whose head has arrived, whatever they hold, and `limits.held_bytes` counts bodies once they are complete.

Cause and change: as at control hosts; section [server] of the settings has the limits. A refused request gets 429 `overloaded` with Retry-After: not run.

--- a/crates/hg_entry/src/api/callers.rs
+++ b/crates/hg_entry/src/api/callers.rs
@@ -383,7 +383,7 @@
     )
 }
 
-fn overloaded(message: &str) -> ApiError {
+pub(super) fn overloaded(message: &str) -> ApiError {
     ApiError::new(ErrorCode::Overloaded, format!("not run: {message}"))
         .with_retry_after(RETRY_AFTER)
 }
--- a/crates/hg_entry/src/api/mod.rs
+++ b/crates/hg_entry/src/api/mod.rs
@@ -9,10 +9,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hg_http::Server;
 use metrics_exporter_prometheus::PrometheusHandle;
+use poem::error::ResponseError as _;
 use poem::http::StatusCode;
-use poem::listener::TcpListener;
-use poem::{Body, EndpointExt as _, Response, Route, Server, delete, get, post};
+use poem::{Body, EndpointExt as _, Response, Route, delete, get, post};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncRead, AsyncReadExt as _};
@@ -34,11 +35,11 @@
 
 /// Serves until `stop` becomes true; requests in progress may then finish.
 pub(crate) async fn serve(
+    server: Server,
     entry: Arc<Entry>,
     prometheus: PrometheusHandle,
     mut stop: watch::Receiver<bool>,
-) -> std::io::Result<()> {
-    let address = entry.settings.http;
+) {
     let app = Route::new()
         .at("/v1/jobs", post(callers::submit_job))
         .at("/v1/jobs/:id", get(callers::get_job).delete(callers::cancel_job))
@@ -63,8 +64,13 @@
         // The sender is dropped only when the process ends; that stops the server, too.
         drop(stop.wait_for(|stop| *stop).await);
     };
-    let server = Server::new(TcpListener::bind(address));
-    server.run_with_graceful_shutdown(app, stopped, Some(DRAIN_LIMIT)).await
+    server.with_refusal(refusal).run(app, stopped, DRAIN_LIMIT).await;
+}
+
+/// The response to a request that the server refuses before it was received in full.
+fn refusal() -> Response {
+    callers::overloaded("the limits of this entry on requests in progress are reached")
+        .as_response()
 }
 
 /// Reads a JSON body of at most `limit` bytes.
--- a/crates/hg_entry/src/run.rs
+++ b/crates/hg_entry/src/run.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use eyre::{WrapErr as _, eyre};
+use hg_http::{HttpLimits, Server, files_limit};
 use hg_link::{ControlClient, KeyFolder, LinkEndpoint};
 use hg_model::{EntryName, Time};
 use hg_settings::EntrySettings;
@@ -51,7 +52,10 @@
     tokio::spawn(directives::execute(Arc::clone(&entry), rx));
     tokio::spawn(report::run_reports(Arc::clone(&entry)));
     let (stop, stopped) = watch::channel(false);
-    let mut http_server = tokio::spawn(api::serve(Arc::clone(&entry), prometheus, stopped));
+    let limits = HttpLimits::from(entry.settings.server).within_files(files_limit());
+    let server = Server::bind(entry.settings.http, limits, log.clone()).wrap_err("pages")?;
+    let serving = api::serve(server, Arc::clone(&entry), prometheus, stopped);
+    let mut http_server = tokio::spawn(serving);
 
     let mut terminate = signal(SignalKind::terminate()).wrap_err("signals")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("signals")?;
@@ -59,7 +63,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
         ended = &mut http_server => {
-            ended.wrap_err("pages")?.wrap_err("pages")?;
+            ended.wrap_err("pages")?;
             return Err(eyre!("the HTTP server stopped unexpectedly"));
         }
     }
@@ -67,7 +71,7 @@
     entry.begin_shutdown();
     drain(&entry).await;
     stop.send_replace(true);
-    http_server.await.wrap_err("pages")?.wrap_err("pages")?;
+    http_server.await.wrap_err("pages")?;
     entry.control.close().await;
     info!(log, "entry: ended"; "event" => "entry.end");
     Ok(())
