--- a/crates/hg_e2e/src/crowd.rs
+++ b/crates/hg_e2e/src/crowd.rs
@@ -32,6 +32,8 @@
 const RECONNECTION_PAUSE: Duration = Duration::from_millis(250);
 /// After this time without progress a member counts as blocked by the server.
 const BLOCKED_AFTER: Duration = Duration::from_secs(5);
+/// Number of times that a member repeats a complete request on one connection.
+const REPETITIONS: usize = 3;
 /// Number of pipelined requests of one member.
 const PIPELINED_REQUESTS: usize = 2_000;
 
@@ -48,6 +50,8 @@
     WholeBody,
     /// They send a body of legal size in pieces; most stop one byte before its end.
     PiecewiseBody,
+    /// They send a body of legal size to its end, again and again.
+    CompleteBody,
     /// They send a chunked body of legal size in large chunks; most leave out the last chunk.
     LargeChunks,
     /// They send a chunked body of legal size in tiny chunks; most leave out the last chunk.
@@ -166,6 +170,16 @@
                 trickle(&mut stream, b"x").await
             }
             Misbehaviour::EmptyLines => trickle(&mut stream, b"\r\n").await,
+            Misbehaviour::CompleteBody => {
+                for _ in 0..REPETITIONS {
+                    // Responses are not told apart from their heads: any byte is taken for one.
+                    if timeout(BLOCKED_AFTER, stream.read(&mut [0; 4_096])).await?? == 0 {
+                        return Ok(());
+                    }
+                    self.send(&mut stream).await?;
+                }
+                read_to_end(&mut stream).await
+            }
             _ => read_to_end(&mut stream).await,
         }
     }
@@ -190,11 +204,12 @@
             Misbehaviour::EmptyLines => {
                 write_pieces(stream, "\r\n".repeat(ENDLESS_BYTES / 2).as_bytes()).await
             }
-            Misbehaviour::WholeBody | Misbehaviour::PiecewiseBody => {
+            Misbehaviour::WholeBody | Misbehaviour::PiecewiseBody | Misbehaviour::CompleteBody => {
                 let head = format!("{}Content-Length: {}\r\n\r\n", self.head("POST"), body.len());
                 stream.write_all(head.as_bytes()).await?;
-                let sent = if self.completes { body.len() } else { body.len() - 1 };
-                if self.behaviour == Misbehaviour::WholeBody {
+                let completes = self.completes || self.behaviour == Misbehaviour::CompleteBody;
+                let sent = if completes { body.len() } else { body.len() - 1 };
+                if self.behaviour != Misbehaviour::PiecewiseBody {
                     return write_pieces(stream, &body[..sent]).await;
                 }
                 for piece in body[..sent].chunks(PIECE_BYTES) {
--- a/crates/hg_e2e/tests/crowds.rs
+++ b/crates/hg_e2e/tests/crowds.rs
@@ -130,6 +130,7 @@
         && matches!(
             behaviour,
             Misbehaviour::WholeBody
+                | Misbehaviour::CompleteBody
                 | Misbehaviour::PiecewiseBody
                 | Misbehaviour::LargeChunks
                 | Misbehaviour::SmallChunks
@@ -176,6 +177,7 @@
             withstands_endless_heads: EndlessHead,
             withstands_empty_lines: EmptyLines,
             withstands_whole_bodies: WholeBody,
+            withstands_complete_bodies: CompleteBody,
             withstands_piecewise_bodies: PiecewiseBody,
             withstands_large_chunks: LargeChunks,
             withstands_small_chunks: SmallChunks,
--- a/crates/hg_model/src/lib.rs
+++ b/crates/hg_model/src/lib.rs
@@ -46,7 +46,7 @@
 pub use workflow::{
     AdviceTiming, Catalog, CatalogFault, Checkpoint, ClientAccount, ClockReading, EndKind,
     HeartbeatReadings, HostReport, HostState, Incarnation, LatencyTarget, ListedRun, PoolSpec,
-    QueueSpec, ResourceVector, Route, RunEnd, RunListing, RunNumber, Schedule, StepId, StepSpec,
-    TaskClass, TaskId, TaskIdError, UpstreamReport, WaveFault, WaveNumber, WaveSpec, WaveState,
-    WorkflowFault, WorkflowSpec, WorkflowState,
+    QueueSpec, ResourceVector, Route, RunEnd, RunListing, RunNumber, STEPS_MAX, Schedule, StepId,
+    StepSpec, TaskClass, TaskId, TaskIdError, UpstreamReport, WaveFault, WaveNumber, WaveSpec,
+    WaveState, WorkflowFault, WorkflowSpec, WorkflowState,
 };
--- a/crates/hg_model/src/workflow/mod.rs
+++ b/crates/hg_model/src/workflow/mod.rs
@@ -24,7 +24,7 @@
 pub use resource_vector::ResourceVector;
 pub use run::{EndKind, ListedRun, RunEnd, RunListing};
 pub use state::WorkflowState;
-pub use step::{LatencyTarget, Schedule, StepSpec, WorkflowFault, WorkflowSpec};
+pub use step::{LatencyTarget, STEPS_MAX, Schedule, StepSpec, WorkflowFault, WorkflowSpec};
 pub use task::{Checkpoint, Incarnation, RunNumber, StepId, TaskId, TaskIdError};
 pub use task_class::TaskClass;
 pub use wave::{HostReport, HostState, WaveFault, WaveNumber, WaveSpec, WaveState};
--- a/crates/hg_model/src/workflow/step.rs
+++ b/crates/hg_model/src/workflow/step.rs
@@ -10,7 +10,7 @@
 use crate::{ImageName, Label, RackName};
 
 /// Most steps of a workflow.
-const STEPS_MAX: usize = 64;
+pub const STEPS_MAX: usize = 64;
 /// Most tasks of a workflow's steps together, for each occurrence.
 const TASKS_MAX: u64 = 10_000;
 /// Most bytes of the content that is passed to the tasks.
