hg_platform: entries follow the limits of the configuration

What callers saw: a caller inside `MaxBodyBytes` of the configuration was refused if that is above 262,144; with the limits of hg_http the same would hold for `MaxHeaderBytes`, `HeaderTimeoutMs` and `IdleTimeoutMs` above the defaults.

Cause: nothing read `Limits` of the configuration.

Messages between processes are unchanged.

--- a/crates/hg_control/src/leader_watch.rs
+++ b/crates/hg_control/src/leader_watch.rs
@@ -18,13 +18,13 @@
 /// After how many pings the settings are read again; they may change without a signal.
 const PINGS_PER_SETTINGS_READ: u32 = 6;
 
-/// Pings the leader periodically, adds the control hosts that it names, and sets `ready` to whether a
-/// leader replies and has a catalog.
+/// Pings the leader periodically, adds the control hosts that it names, and sets `catalog` to the version of its catalog: none
+/// if no leader replies or it has none.
 ///
 /// `seeds` reads the control hosts that the settings name now, and logs an error if it can't.
 pub async fn watch_leader(
     leader: LeaderClient,
-    ready: Arc<watch::Sender<bool>>,
+    catalog: Arc<watch::Sender<Option<u64>>>,
     seeds: impl Fn() -> Option<Vec<SocketAddr>> + Send,
     log: Logger,
 ) {
@@ -34,15 +34,15 @@
             leader.add_hosts(seeds());
         }
         round = round.wrapping_add(1);
-        let is_ready = match leader.request(WorkflowRequest::Ping, PING_TIMEOUT).await {
+        let version = match leader.request(WorkflowRequest::Ping, PING_TIMEOUT).await {
             Ok(WorkflowReply::Ready { catalog, controls }) => {
                 leader.control_client().add_hosts(controls);
-                catalog.is_some()
+                catalog
             }
-            Ok(_) | Err(_) => false,
+            Ok(_) | Err(_) => None,
         };
-        if ready.send_replace(is_ready) != is_ready {
-            let event = if is_ready { "control.regained" } else { "control.lost" };
+        if catalog.send_replace(version).is_some() != version.is_some() {
+            let event = if version.is_some() { "control.regained" } else { "control.lost" };
             info!(log, "door: readiness of the control leader changed"; "event" => event);
         }
         sleep(PING_INTERVAL).await;
--- a/crates/hg_e2e/tests/crowds.rs
+++ b/crates/hg_e2e/tests/crowds.rs
@@ -11,6 +11,7 @@
     Api, Crowd, Deployment, Misbehaviour, PeakSampler, ProcessProbe, Target, job, wait_until,
 };
 use hyper::Method;
+use rustix::process::Signal;
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
@@ -159,6 +160,19 @@
     findings.finish()
 }
 
+/// A process that is told to end does so although a crowd keeps its connections busy.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_ends_beside_a_crowd() -> eyre::Result<()> {
+    let _turn = TURN.lock().await;
+    let mut deployment = Deployment::start(1).await?;
+    let target = Address::Entry.target(&deployment);
+    let crowd = Crowd::start(&target, Misbehaviour::PiecewiseBody, JOB_CROWD);
+    crowd.wait_until_arrived().await?;
+    deployment.signal("e0", Signal::TERM)?;
+    deployment.wait_for_exit("e0").await?;
+    Ok(())
+}
+
 macro_rules! crowds_at {
     ($module:ident, $address:expr, $($case:ident: $behaviour:ident,)*) => {
         mod $module {
--- a/crates/hg_http/src/connection_table.rs
+++ b/crates/hg_http/src/connection_table.rs
@@ -135,6 +135,11 @@
         Self { limits, connections: BTreeMap::new(), next: 0, held: 0, refused_at: None }
     }
 
+    /// Changes the limits; connections above a lower one are replaced as others arrive.
+    pub const fn set_limits(&mut self, limits: HttpLimits) {
+        self.limits = limits;
+    }
+
     /// Number of connections, those included that are being closed.
     pub fn len(&self) -> usize {
         self.connections.len()
--- a/crates/hg_http/src/connections.rs
+++ b/crates/hg_http/src/connections.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::Notify;
 
+use crate::HttpLimits;
 use crate::connection_table::{Admission, Charge, Closure, ConnectionId, ConnectionTable, Stage};
 use crate::refusal::{RefusalLog, RefusalReason};
 
@@ -81,6 +82,11 @@
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Changes the limits; connections above a lower one are replaced as others arrive.
+    pub(crate) fn set_limits(&self, limits: HttpLimits) {
+        self.lock().table.set_limits(limits);
+    }
+
     /// Number of open connections, those included that are being closed.
     pub(crate) fn len(&self) -> usize {
         self.lock().table.len()
--- a/crates/hg_http/src/server.rs
+++ b/crates/hg_http/src/server.rs
@@ -53,7 +53,7 @@
 pub struct Server {
     listener: TcpListener,
     address: SocketAddr,
-    limits: HttpLimits,
+    limits: watch::Receiver<HttpLimits>,
     refusal: fn() -> Response,
     log: Logger,
 }
@@ -63,7 +63,6 @@
 struct Shared<E> {
     endpoint: E,
     address: SocketAddr,
-    limits: HttpLimits,
     refusal: fn() -> Response,
 }
 
@@ -86,6 +85,8 @@
         socket.bind(address)?;
         let listener = socket.listen(BACKLOG)?;
         let address = listener.local_addr()?;
+        // The limits stay as they are when the sender is dropped.
+        let (_, limits) = watch::channel(limits);
         Ok(Self { listener, address, limits, refusal: unavailable, log })
     }
 
@@ -96,6 +97,13 @@
         self
     }
 
+    /// Sets limits that may change. The system's buffers keep the size that they had when the address was bound.
+    #[must_use]
+    pub fn with_limits(mut self, limits: watch::Receiver<HttpLimits>) -> Self {
+        self.limits = limits;
+        self
+    }
+
     /// The address at which the server listens.
     pub const fn address(&self) -> SocketAddr {
         self.address
@@ -111,9 +119,10 @@
         E: IntoEndpoint,
         E::Endpoint: 'static,
     {
-        let Self { listener, address, limits, refusal, log } = self;
+        let Self { listener, address, limits: mut limits_rx, refusal, log } = self;
+        let mut limits = *limits_rx.borrow_and_update();
         let endpoint = endpoint.into_endpoint().map_to_response();
-        let shared = Arc::new(Shared { endpoint, address, limits, refusal });
+        let shared = Arc::new(Shared { endpoint, address, refusal });
         let refusals = RefusalLog::new(address, log.clone());
         let connections = Arc::new(Connections::new(ConnectionTable::new(limits), refusals));
         let checks = tokio::spawn(check_connections(Arc::clone(&connections)));
@@ -123,11 +132,23 @@
         loop {
             tokio::select! {
                 () = &mut shutdown => break,
+                Ok(()) = limits_rx.changed() => {
+                    limits = *limits_rx.borrow_and_update();
+                    connections.set_limits(limits);
+                }
                 accepted = accept(&listener, &connections, limits) => match accepted {
                     Ok((stream, remote)) => match connections.admit(Instant::now()) {
                         Some(connection) => {
                             let shared = Arc::clone(&shared);
-                            tokio::spawn(serve(stream, remote, connection, shared, drain.clone()));
+                            let serving = serve(
+                                stream,
+                                remote,
+                                connection,
+                                limits.head_bytes,
+                                shared,
+                                drain.clone(),
+                            );
+                            tokio::spawn(serving);
                         }
                         None => turn_away(stream),
                     },
@@ -178,21 +199,21 @@
     stream: TcpStream,
     remote: SocketAddr,
     connection: Connection,
+    head_bytes: usize,
     shared: Arc<Shared<E>>,
     mut drain: watch::Receiver<bool>,
 ) where
     E: Endpoint<Output = Response> + 'static,
 {
     let connection = Arc::new(connection);
-    let limits = shared.limits;
     let service = service_fn(|req| {
         let (shared, connection) = (Arc::clone(&shared), Arc::clone(&connection));
         async move { Ok::<_, Infallible>(respond(req, remote, connection, &shared).await) }
     });
     let stream = TokioIo::new(MonitoredStream::new(stream, Arc::clone(&connection)));
     let conn = http1::Builder::new()
-        .max_buf_size(limits.head_bytes.max(HEAD_BUFFER_MIN_BYTES))
-        .max_header_size(limits.head_bytes)
+        .max_buf_size(head_bytes.max(HEAD_BUFFER_MIN_BYTES))
+        .max_header_size(head_bytes)
         .serve_connection(stream, service);
     let mut conn = pin!(conn);
     let mut is_draining = false;
