--- a/crates/hg_settings/tests/parse.rs
+++ b/crates/hg_settings/tests/parse.rs
@@ -85,7 +85,8 @@
     let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
     let text = format!(
         "# Settings\n\nEach program reads one TOML file; `--check-settings` names all mistakes at once.\nThis page is \
-         made from the tables of keys in `hg_settings`.\n\n{}\n{}",
+         made from the tables of keys in `hg_settings`.\nOn the users' platform the values of `[server]` \
+         follow from the host: [PLATFORM.md](PLATFORM.md), Limits on clients.\n\n{}\n{}",
         reference_table::<ControlSettings>(),
         reference_table::<EntrySettings>()
     );
