hg_http: a refusal is counted once; a paused process reads before it closes

A request whose connection was already being closed for memory was counted again when its next bytes were charged. After a pause of the process, clients whose bytes had arrived meanwhile looked late: that check is left out then. Found by reading; refuse_decides_only_once_and_only_while_the_body_is_incomplete fails before.

--- a/crates/hg_http/src/connection_table.rs
+++ b/crates/hg_http/src/connection_table.rs
@@ -307,12 +307,13 @@
         (closures, fits)
     }
 
-    /// Refuses the request that a connection receives. Returns whether that is still possible.
+    /// Refuses the request that a connection receives. Returns whether this decides it: not if the request is complete or the
+    /// connection is closing already.
     pub fn refuse(&mut self, id: ConnectionId) -> bool {
         let Some(connection) = self.connections.get_mut(&id) else { return false };
-        let is_possible = connection.stage == Stage::Body;
-        connection.is_closing |= is_possible;
-        is_possible
+        let decides = connection.stage == Stage::Body && !connection.is_closing;
+        connection.is_closing |= decides;
+        decides
     }
 
     const fn has_room(&self, bytes: usize) -> bool {
--- a/crates/hg_http/src/server.rs
+++ b/crates/hg_http/src/server.rs
@@ -183,8 +183,13 @@
 async fn check_connections(connections: Arc<Connections>) {
     loop {
         connections.wait_for_any().await;
+        let before = Instant::now();
         sleep(CHECK_INTERVAL).await;
-        connections.close_overdue(Instant::now());
+        let now = Instant::now();
+        // After a pause of the process itself, what arrived meanwhile is read first.
+        if now.duration_since(before) < 2 * CHECK_INTERVAL {
+            connections.close_overdue(now);
+        }
     }
 }
 
--- a/crates/hg_http/tests/connection_table.rs
+++ b/crates/hg_http/tests/connection_table.rs
@@ -188,6 +188,19 @@
     assert_eq!(table.charge(now + 60 * SECOND, new, 10), Charge::Refused);
 }
 
+#[test]
+fn refuse_decides_only_once_and_only_while_the_body_is_incomplete() {
+    let (mut table, now) = (ConnectionTable::new(limits()), Instant::now());
+    let incomplete = admit_body(&mut table, now);
+    assert!(table.refuse(incomplete));
+    assert!(!table.refuse(incomplete));
+    assert_eq!(table.charge(now, incomplete, 1), Charge::Refused);
+    assert!(!table.record_body(incomplete));
+    let complete = admit_body(&mut table, now);
+    assert!(table.record_body(complete));
+    assert!(!table.refuse(complete));
+}
+
 #[test]
 fn charge_response_counts_even_what_does_not_fit() {
     let (mut table, now) = (ConnectionTable::new(limits()), Instant::now());
