--- a/crates/hg_e2e/src/crowd.rs
+++ b/crates/hg_e2e/src/crowd.rs
@@ -66,6 +66,53 @@
     Silence,
 }
 
+impl Misbehaviour {
+    /// Whether the members send bodies of legal size.
+    pub const fn sends_bodies(self) -> bool {
+        matches!(
+            self,
+            Self::WholeBody
+                | Self::PiecewiseBody
+                | Self::CompleteBody
+                | Self::LargeChunks
+                | Self::SmallChunks
+        )
+    }
+}
+
+/// Defines a module with a test for each kind of crowd at an address. Each test calls `super::withstand` with the address and the
+/// kind.
+#[macro_export]
+macro_rules! crowds_at {
+    ($module:ident, $address:expr, $($case:ident: $behaviour:ident,)*) => {
+        mod $module {
+            $(
+                #[tokio::test(flavor = "multi_thread")]
+                async fn $case() -> eyre::Result<()> {
+                    super::withstand($address, $crate::Misbehaviour::$behaviour).await
+                }
+            )*
+        }
+    };
+    ($module:ident, $address:expr) => {
+        $crate::crowds_at! {
+            $module, $address,
+            withstands_long_heads: LongHead,
+            withstands_endless_heads: EndlessHead,
+            withstands_empty_lines: EmptyLines,
+            withstands_whole_bodies: WholeBody,
+            withstands_complete_bodies: CompleteBody,
+            withstands_piecewise_bodies: PiecewiseBody,
+            withstands_large_chunks: LargeChunks,
+            withstands_small_chunks: SmallChunks,
+            withstands_chunk_extensions: ChunkExtension,
+            withstands_trailers: Trailers,
+            withstands_unread_responses: UnreadResponses,
+            withstands_silence: Silence,
+        }
+    };
+}
+
 /// Where a crowd goes, and the request that it abuses.
 #[derive(Debug, Clone)]
 pub struct Target {
--- a/crates/hg_e2e/tests/crowds.rs
+++ b/crates/hg_e2e/tests/crowds.rs
@@ -8,7 +8,8 @@
 
 use eyre::{ensure, eyre};
 use hg_e2e::{
-    Api, Crowd, Deployment, Misbehaviour, PeakSampler, ProcessProbe, Target, job, wait_until,
+    Api, Crowd, Deployment, Findings, Misbehaviour, PeakSampler, ProcessProbe, Target, crowds_at,
+    job, wait_until,
 };
 use hyper::Method;
 use rustix::process::Signal;
@@ -100,23 +101,6 @@
     answered.await.map_err(|_| eyre!("{method} {path} is not answered: {last}"))?
 }
 
-/// What a test found; all its checks are made before it fails.
-#[derive(Debug, Default)]
-struct Findings(Vec<String>);
-
-impl Findings {
-    fn check(&mut self, what: &str, result: eyre::Result<()>) {
-        if let Err(error) = result {
-            self.0.push(format!("{what}: {error}"));
-        }
-    }
-
-    fn finish(self) -> eyre::Result<()> {
-        ensure!(self.0.is_empty(), "{}", self.0.join("; "));
-        Ok(())
-    }
-}
-
 /// Plays a crowd at an address and checks the processes.
 async fn withstand(address: Address, behaviour: Misbehaviour) -> eyre::Result<()> {
     let _turn = TURN.lock().await;
@@ -127,15 +111,7 @@
     let peaks = PeakSampler::start(probe);
     ensure!(probe.memory_bytes() < MEMORY_BYTES, "the idle process is over the target");
 
-    let sends_jobs = address == Address::Entry
-        && matches!(
-            behaviour,
-            Misbehaviour::WholeBody
-                | Misbehaviour::CompleteBody
-                | Misbehaviour::PiecewiseBody
-                | Misbehaviour::LargeChunks
-                | Misbehaviour::SmallChunks
-        );
+    let sends_jobs = address == Address::Entry && behaviour.sends_bodies();
     let count = if sends_jobs { JOB_CROWD } else { CROWD };
     let crowd = Crowd::start(&address.target(&deployment), behaviour, count);
     let mut findings = Findings::default();
@@ -149,14 +125,8 @@
     findings.check("after the crowd", given_back.await);
     let answered = address.ordinary_requests(&deployment, "after").await;
     findings.check("after the crowd", answered);
-    let memory = peaks.memory_bytes();
-    if memory > MEMORY_BYTES + REQUEST_BYTES {
-        findings.0.push(format!("memory: {memory}, allowed are {}", MEMORY_BYTES + REQUEST_BYTES));
-    }
-    let exited = deployment.exited()?;
-    if !exited.is_empty() {
-        findings.0.push(format!("processes that ended: {exited:?}"));
-    }
+    findings.check_max("memory", peaks.memory_bytes(), MEMORY_BYTES + REQUEST_BYTES);
+    findings.check_alive(&deployment.exited()?);
     findings.finish()
 }
 
@@ -173,35 +143,5 @@
     Ok(())
 }
 
-macro_rules! crowds_at {
-    ($module:ident, $address:expr, $($case:ident: $behaviour:ident,)*) => {
-        mod $module {
-            $(
-                #[tokio::test(flavor = "multi_thread")]
-                async fn $case() -> eyre::Result<()> {
-                    super::withstand($address, hg_e2e::Misbehaviour::$behaviour).await
-                }
-            )*
-        }
-    };
-    ($module:ident, $address:expr) => {
-        crowds_at! {
-            $module, $address,
-            withstands_long_heads: LongHead,
-            withstands_endless_heads: EndlessHead,
-            withstands_empty_lines: EmptyLines,
-            withstands_whole_bodies: WholeBody,
-            withstands_complete_bodies: CompleteBody,
-            withstands_piecewise_bodies: PiecewiseBody,
-            withstands_large_chunks: LargeChunks,
-            withstands_small_chunks: SmallChunks,
-            withstands_chunk_extensions: ChunkExtension,
-            withstands_trailers: Trailers,
-            withstands_unread_responses: UnreadResponses,
-            withstands_silence: Silence,
-        }
-    };
-}
-
 crowds_at!(entry, super::Address::Entry);
 crowds_at!(control, super::Address::Control);
