--- a/crates/hg_e2e/tests/crowds.rs
+++ b/crates/hg_e2e/tests/crowds.rs
@@ -39,7 +39,7 @@
 /// The tests of this file take turns.
 static TURN: Mutex<()> = Mutex::const_new(());
 
-/// An address that strangers reach.
+/// An address that is open to the outside.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Address {
     /// Where an entry serves callers, operators and upstreams.
--- a/crates/hg_http/src/connection_table.rs
+++ b/crates/hg_http/src/connection_table.rs
@@ -10,8 +10,8 @@
 /// After this time without progress, a connection with a request or response in transit counts as stalled and gives way to
 /// others when something runs short.
 const STALLED_AFTER: Duration = Duration::from_secs(1);
-/// For this time after a connection was refused, responses end the connections of strangers, so that others get their turn.
-const PRESSED_FOR: Duration = Duration::from_secs(1);
+/// For this time after a connection was refused, responses end connections, so that others get their turn.
+const SATURATED_FOR: Duration = Duration::from_secs(1);
 /// A request gives way to a smaller one if it holds more than this many times as much.
 const LARGER_FACTOR: usize = 2;
 
@@ -75,7 +75,7 @@
     /// When bytes last arrived or were sent.
     progress_at: Instant,
     /// Whether a request on this connection has been answered with success.
-    is_known: bool,
+    was_served: bool,
     /// Whether it was decided to close it.
     is_closing: bool,
     /// Bytes of its request and response that count towards the limit.
@@ -176,7 +176,7 @@
             stage: Stage::Idle,
             since: now,
             progress_at: now,
-            is_known: false,
+            was_served: false,
             is_closing: false,
             held: 0,
         };
@@ -231,15 +231,16 @@
         connection.stage = Stage::Sending;
         connection.since = now;
         connection.progress_at = now;
-        connection.is_known |= is_success;
+        connection.was_served |= is_success;
     }
 
     /// Whether the connection ends with its response: after others were refused, since clients that send one request behind the
     /// other would keep all connections. Clients that were served before keep theirs, unless there are no others.
     pub fn ends_with_response(&self, now: Instant, id: ConnectionId) -> bool {
-        let is_pressed = self.refused_at.is_some_and(|at| now.duration_since(at) < PRESSED_FOR);
-        let is_known = |id| self.connections.get(id).is_some_and(|connection| connection.is_known);
-        is_pressed && (!is_known(&id) || self.connections.keys().all(is_known))
+        let is_saturated = self.refused_at.is_some_and(|at| now.duration_since(at) < SATURATED_FOR);
+        let was_served =
+            |id| self.connections.get(id).is_some_and(|connection| connection.was_served);
+        is_saturated && (!was_served(&id) || self.connections.keys().all(was_served))
     }
 
     /// Records that a part of a response was sent.
@@ -358,7 +359,7 @@
         let waiting = self.connections.iter().filter(|(_, c)| c.can_give_way(now));
         let first = waiting.min_by_key(|(id, c)| {
             let has_request = matches!(c.stage, Stage::Head | Stage::Body);
-            (c.is_known, c.is_known && has_request, c.since, **id)
+            (c.was_served, c.was_served && has_request, c.since, **id)
         });
         first.map(|(id, _)| *id)
     }
--- a/crates/hg_http/src/connections.rs
+++ b/crates/hg_http/src/connections.rs
@@ -11,12 +11,12 @@
 use crate::connection_table::{Admission, Charge, Closure, ConnectionId, ConnectionTable, Stage};
 use crate::refusal::{RefusalLog, RefusalReason};
 
-/// What the task of a connection is told to do.
+/// Wakes the task of a connection.
 #[derive(Debug, Default)]
 struct Signals {
-    /// Close the connection.
+    /// The connection is to be closed.
     close: Notify,
-    /// Answer the request that is being received, then close the connection.
+    /// The request that is being received is to be refused.
     refuse: Notify,
     /// The last response has been sent.
     flushed: Notify,
--- a/crates/hg_http/src/lib.rs
+++ b/crates/hg_http/src/lib.rs
@@ -1,5 +1,5 @@
-//! The HTTP server of all processes. It serves clients that nobody controls, so everything that a client can make a process
-//! hold is bounded: in total, not only for each client.
+//! The HTTP server of all processes. It serves untrusted clients, so everything that a client can make a process hold is
+//! bounded: in total, not only for each client.
 //!
 //! * [`HttpLimits`] are the limits; [`HttpLimits::for_host`] derives them from the memory and the files of a process.
 //! * [`ConnectionTable`] decides, without I/O: who is admitted, who is closed in favour of others, who is too slow.
--- a/crates/hg_http/tests/connection_table.rs
+++ b/crates/hg_http/tests/connection_table.rs
@@ -35,9 +35,9 @@
     assert!(table.record_flushed(now, id));
 }
 
-/// Without this rule strangers that connect and stay keep everyone else out.
+/// Without this rule, clients that connect and stay keep everyone else out.
 #[test]
-fn admit_at_the_limit_replaces_the_stranger_that_has_waited_longest() {
+fn admit_at_the_limit_replaces_the_unserved_client_that_has_waited_longest() {
     let (mut table, now) = (ConnectionTable::new(limits()), Instant::now());
     let known = admit(&mut table, now);
     serve(&mut table, now, known, true);
@@ -75,7 +75,7 @@
 
 /// Clients that send one request behind the other always have one in progress, so none of their connections can be replaced.
 #[test]
-fn responses_end_connections_of_strangers_after_others_were_refused() {
+fn responses_end_connections_of_unserved_clients_after_others_were_refused() {
     let (mut table, now) = (ConnectionTable::new(limits()), Instant::now());
     let known = admit(&mut table, now);
     serve(&mut table, now, known, true);
@@ -114,7 +114,7 @@
     assert!(!closure.has_request);
 }
 
-/// Connections that were told to close count until they are gone, but a new one replaces no second one for them.
+/// Connections that are being closed count until they are gone, but no second one is replaced for the same new one.
 #[test]
 fn admit_replaces_one_connection_for_one() {
     let (mut table, now) = (ConnectionTable::new(limits()), Instant::now());
@@ -152,7 +152,11 @@
     let new = admit_body(&mut table, later);
     let closure = Closure { id: stalled, reason: RefusalReason::Memory, has_request: true };
     assert_eq!(table.charge(later, new, 400), Charge::Waits(vec![closure]));
-    assert_eq!(table.charge(later, new, 400), Charge::Waits(vec![]), "nobody is closed twice");
+    assert_eq!(
+        table.charge(later, new, 400),
+        Charge::Waits(vec![]),
+        "no connection is closed twice"
+    );
     assert!(!table.record_body(stalled), "a request that was refused is not served");
     table.release(stalled);
     assert_eq!(table.charge(later, new, 400), Charge::Granted);
