--- a/review/12/case.py
+++ b/review/12/case.py
@@ -20,7 +20,8 @@
 
     def on_start(worker, task, run):
         with lock:
-            others = [entry for entry in running.get(task, []) if entry[2].up and entry[2] is not worker]
+            others = [(name, number, other) for name, number, other in running.get(task, []) if other is not worker
+                      and other.up and other.running.get(task, {}).get("run") == number]
             if others:
                 twice.append(f"{task} run {run} on {worker.name} beside run {others[0][1]} on {others[0][0]}")
                 deployment.record.write(f"TWICE: {twice[-1]}")
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -6,15 +6,22 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standin-3"))
 from cloud import Cloud
-from deployment import CAPACITY, configuration, run_case
+from deployment import CAPACITY, configuration, new_job, run_case
+
+MACHINES = 4
+WORK_MS = 2_000
 
 
 def case(deployment, has_trouble):
-    cloud = Cloud(deployment, 4, lambda n: ["a", f"r{n}-1"], CAPACITY,
-                  lambda worker, task, run: {"work_ms": 2_000, "end": "done"})
+    cloud = Cloud(deployment, MACHINES, lambda n: ["a", f"r{n}-1"], CAPACITY,
+                  lambda worker, task, run: {"work_ms": WORK_MS, "end": "done"})
     try:
         deployment.start(configuration())
         time.sleep(4)
+        # Work for some seconds, as on any day: a machine goes down once its tasks have ended.
+        step = {"Count": 8 * MACHINES, "Cpu": 1000, "MemMb": 1024, "Gpu": 1, "EstimateMs": WORK_MS}
+        for number in range(3):
+            deployment.submit(number, new_job(), {"Spec": "(text)", "Steps": [step]})
         machines = [machine.name for machine in cloud.machines]
         numbers = (1, 2)
         for number in numbers:
