--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,47 +1,68 @@
-"""A wave may be shown as completed only when each of its machines has begun its upkeep, also beside another wave."""
+"""A job whose cancelling was confirmed must not start, though its submission was held up at a frozen entry."""
 
 import os
+import signal
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standin-3"))
-from cloud import Cloud
-from deployment import CAPACITY, configuration, new_job, run_case
+from deployment import CAPACITY, Worker, configuration, new_job, run_case
 
-MACHINES = 4
-WORK_MS = 2_000
+CANCEL_MS = 3_000
+FREEZE_S = 2.8
+# How long the clients wait, as X-Deadline-Ms says.
+WAIT_S = 2.0
+WORK_MS = 5_000
+JOBS = 12
 
 
 def case(deployment, has_trouble):
-    cloud = Cloud(deployment, MACHINES, lambda n: ["a", f"r{n}-1"], CAPACITY,
-                  lambda worker, task, run: {"work_ms": WORK_MS, "end": "done"})
-    try:
-        deployment.start(configuration())
-        time.sleep(4)
-        # Work for some seconds, as on any day: a machine goes down once its tasks have ended.
-        step = {"Count": 8 * MACHINES, "Cpu": 1000, "MemMb": 1024, "Gpu": 1, "EstimateMs": WORK_MS}
-        for number in range(3):
-            deployment.submit(number, new_job(), {"Spec": "(text)", "Steps": [step]})
-        machines = [machine.name for machine in cloud.machines]
-        numbers = (1, 2)
-        for number in numbers:
-            cloud.waves[number] = machines
-            deployment.start_wave(number, machines, 40, 1)
-            if not has_trouble:
-                while deployment.wave_state(number) != "completed":
-                    time.sleep(0.5)
-        deadline, open_waves = time.monotonic() + 80, set(numbers)
-        while open_waves and time.monotonic() < deadline:
-            for number in sorted(open_waves):
-                if deployment.wave_state(number) == "completed":
-                    open_waves.discard(number)
-                    left = [machine.name for machine in cloud.machines if number not in machine.done]
-                    if left:
-                        return f"wave {number} is completed, and {', '.join(left)} has not begun its upkeep"
-            time.sleep(0.3)
+    for number in range(8):
+        worker = Worker(deployment, f"i-{number}", 21 + number, ["a", f"r{number}-1"], CAPACITY)
+        worker.behaviour = lambda worker, task, run: {"work_ms": WORK_MS, "end": "done"}
+        deployment.workers.append(worker)
+    starts, confirmed = [], {}
+    deployment.on_start = lambda worker, task, run: starts.append((time.monotonic(), task, run, worker.name))
+    deployment.start(configuration())
+    time.sleep(4)
+    steps = [{"Count": 2, "Cpu": 1000, "MemMb": 1024, "Gpu": 1, "EstimateMs": WORK_MS},
+             {"Count": 2, "Cpu": 1000, "MemMb": 1024, "Gpu": 1, "EstimateMs": WORK_MS, "After": [0]}]
+
+    def hand_in_and_cancel(job):
+        """The client waits for as long as X-Deadline-Ms says, closes its channel, and cancels the job at another entry."""
+        path = deployment.prefix + job
+        deployment.client(0, "POST", path, {"Spec": "(text)", "Steps": steps}, WAIT_S)
+        status, _ = deployment.client(1, "DELETE", path)
+        if status is not None and (200 <= status < 300 or status == 410):
+            confirmed[job] = time.monotonic()
+
+    frozen = f"entry-{deployment.entries[0]}"
+    thaw = threading.Timer(FREEZE_S, lambda: deployment.signal(frozen, signal.SIGCONT))
+    if has_trouble:
+        deployment.signal(frozen, signal.SIGSTOP)
+        thaw.start()
+    clients = [threading.Thread(target=hand_in_and_cancel, args=(new_job(),)) for _ in range(JOBS)]
+    for client in clients:
+        client.start()
+    for client in clients:
+        client.join()
+    if has_trouble:
+        thaw.join()
+    time.sleep(14)
+    for job in confirmed:
+        deployment.state(1, job)
+    late = []
+    for at, task, run, name in starts:
+        cancelled_at = confirmed.get(task.split(".")[0])
+        if cancelled_at is not None and at > cancelled_at + CANCEL_MS / 1000:
+            late.append((at - cancelled_at, task, run, name))
+    if not late:
         return None
-    finally:
-        cloud.close()
+    after, task, run, name = late[0]
+    jobs = len({task.split(".")[0] for _, task, _, _ in late})
+    return (f"{jobs} of {len(confirmed)} jobs start tasks later than cancel_ms after their confirmed cancelling, the first "
+            f"{after:.1f} s after it: {task} run {run} on {name}")
 
 
 if __name__ == "__main__":
