--- a/review/14/case.py
+++ b/review/14/case.py
@@ -10,11 +10,14 @@
 from deployment import CAPACITY, Worker, configuration, new_job, run_case
 
 CANCEL_MS = 3_000
-FREEZE_S = 2.8
-# How long the clients wait, as X-Deadline-Ms says.
-WAIT_S = 2.0
+FREEZE_S = 2.0
 WORK_MS = 5_000
-JOBS = 12
+SLO_MS, TIME_LIMIT_S = 1_000, 3.0
+JOBS = 16
+# The share of the clients that leave before their time limit, and when: at half the objective.
+LEAVE_SHARE, LEAVE_S = 0.25, SLO_MS / 2_000
+# The daemons of bf-nord.
+CONTROLS, ENTRIES = 5, 8
 
 
 def case(deployment, has_trouble):
@@ -24,15 +27,17 @@
         deployment.workers.append(worker)
     starts, confirmed = [], {}
     deployment.on_start = lambda worker, task, run: starts.append((time.monotonic(), task, run, worker.name))
-    deployment.start(configuration())
+    deployment.start(configuration(SloMs=SLO_MS))
     time.sleep(4)
     steps = [{"Count": 2, "Cpu": 1000, "MemMb": 1024, "Gpu": 1, "EstimateMs": WORK_MS},
              {"Count": 2, "Cpu": 1000, "MemMb": 1024, "Gpu": 1, "EstimateMs": WORK_MS, "After": [0]}]
 
-    def hand_in_and_cancel(job):
-        """The client waits for as long as X-Deadline-Ms says, closes its channel, and cancels the job at another entry."""
-        path = deployment.prefix + job
-        deployment.client(0, "POST", path, {"Spec": "(text)", "Steps": steps}, WAIT_S)
+    def hand_in(job, leaves):
+        """A client that leaves closes its channel and cancels its job at another entry; the others wait for an answer."""
+        path, body = deployment.prefix + job, {"Spec": "(text)", "Steps": steps}
+        deployment.client(0, "POST", path, body, TIME_LIMIT_S, leaves_after=LEAVE_S if leaves else None)
+        if not leaves:
+            return
         status, _ = deployment.client(1, "DELETE", path)
         if status is not None and (200 <= status < 300 or status == 410):
             confirmed[job] = time.monotonic()
@@ -40,9 +45,11 @@
     frozen = f"entry-{deployment.entries[0]}"
     thaw = threading.Timer(FREEZE_S, lambda: deployment.signal(frozen, signal.SIGCONT))
     if has_trouble:
+        thaw.daemon = True
         deployment.signal(frozen, signal.SIGSTOP)
         thaw.start()
-    clients = [threading.Thread(target=hand_in_and_cancel, args=(new_job(),)) for _ in range(JOBS)]
+    leaving = int(JOBS * LEAVE_SHARE)
+    clients = [threading.Thread(target=hand_in, args=(new_job(), n < leaving)) for n in range(JOBS)]
     for client in clients:
         client.start()
     for client in clients:
@@ -66,4 +73,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(os.path.dirname(os.path.abspath(__file__)), case))
+    sys.exit(run_case(os.path.dirname(os.path.abspath(__file__)), case, CONTROLS, ENTRIES))
--- a/review/standin-3/deployment.py
+++ b/review/standin-3/deployment.py
@@ -17,7 +17,7 @@
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, HTTPServer
-from socketserver import ThreadingMixIn
+from socketserver import TCPServer, ThreadingMixIn
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 CONTROL_PORT, FRONT_PORT, READY_PORT, WORKER_PORT, CLOUD_PORT = 8526, 8521, 8523, 8080, 8524
@@ -52,6 +52,11 @@
     allow_reuse_address = True
     request_queue_size = 64
 
+    def server_bind(self):
+        """Binds the address without the look-up of its name that HTTPServer makes."""
+        TCPServer.server_bind(self)
+        self.server_name, self.server_port = self.server_address[:2]
+
     def handle_error(self, request, client_address):
         pass
 
@@ -83,6 +88,7 @@
             self.started = time.monotonic()
             self.seq, self.fence, self.until, self.last_end, self.acked = 0, 0, 0, 0, 0
             self.running, self.ended, self.outdated = {}, [], {}
+            self.lapsed_at = []
             self.connections = set()
             self.up = True
         worker = self
@@ -189,6 +195,9 @@
         status, answer = self.carry_out(handler.path, body, life)
         if self.drop_if_cut(handler):
             return None
+        if handler.path != "/hold":
+            self.record.write(f"worker {self.name}: {handler.path} {body.get('Task')} run {body.get('Run')} -> "
+                              f"{status} {answer.get('Reason', '')}".rstrip())
         if not self.up or self.life != life:
             handler.close_connection = True
             return None
@@ -295,6 +304,7 @@
                     return
                 now = time.monotonic()
                 if self.running and self.clock() > self.until:
+                    self.lapsed_at.append(now)
                     for task in list(self.running):
                         self.end(task, "lapsed")
                 for task, run in list(self.running.items()):
@@ -328,7 +338,7 @@
     def __init__(self, folder, controls=3, entries=2):
         self.record = Record(os.path.join(folder, "record.txt"))
         self.dir = tempfile.mkdtemp(prefix="hg-review-")
-        self.net = (random.randint(20, 250), random.randint(1, 250))
+        self.net = free_network()
         self.controls = [1 + n for n in range(controls)]
         self.entries = [11 + n for n in range(entries)]
         self.processes = {}
@@ -474,6 +484,8 @@
 
     def signal(self, name, number):
         child = self.processes[name]
+        if child.poll() is not None:
+            return
         os.kill(child.pid, number)
         if number == signal.SIGSTOP:
             self.stopped.add(name)
@@ -502,9 +514,10 @@
 
     # Clients.
 
-    def client(self, number, method, path, body=None, limit=3.0, host=None, key=None):
+    def client(self, number, method, path, body=None, limit=3.0, host=None, key=None, leaves_after=None):
+        """A client's call. It waits for `limit`, as its X-Deadline-Ms says, unless it leaves earlier."""
         headers = {"Host": host or self.host, "X-Api-Key": key or self.key, "X-Deadline-Ms": str(int(limit * 1000))}
-        status, answer = self.try_call(self.front(number), method, path, body, limit, headers)
+        status, answer = self.try_call(self.front(number), method, path, body, leaves_after or limit, headers)
         self.record.write(f"client: {method} {path} at entry {number} -> {status} {answer}")
         return status, answer
 
@@ -523,6 +536,21 @@
         return answer.get("State") if status == 200 and isinstance(answer, dict) else status
 
 
+def free_network():
+    """The second and the third byte of a loopback network in which the ports of the deployment are free."""
+    for _ in range(20):
+        net = (random.randint(20, 250), random.randint(1, 250))
+        try:
+            for host, port in ((1, CONTROL_PORT), (9, CLOUD_PORT), (11, FRONT_PORT), (21, WORKER_PORT)):
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind((f"127.{net[0]}.{net[1]}.{host}", port))
+            return net
+        except OSError:
+            continue
+    raise CannotRun("no loopback network has its ports free")
+
+
 def resident_mb(pid):
     """The memory that a process uses, in MiB."""
     try:
@@ -553,27 +581,38 @@
 CAPACITY = {"Cpu": 32_000, "MemMb": 131_072, "Gpu": 8}
 
 
-def run_case(folder, case):
-    """Runs a case in `folder` and returns its exit code: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+# The exit codes of a case's program; run.sh translates them. Python itself exits with 1 after an error.
+BROKEN, HELD, CANNOT_RUN = 10, 0, 2
+
+
+def run_case(folder, case, controls=3, entries=2):
+    """Runs a case in `folder` and returns its exit code."""
 
     def stop(*_):
         raise CannotRun("the time is up, or the script was told to stop")
 
-    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+    signals = (signal.SIGALRM, signal.SIGTERM, signal.SIGINT)
+    for number in signals:
         signal.signal(number, stop)
     signal.alarm(TIME_LIMIT_S)
-    deployment = Deployment(folder)
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    deployment.record.write(f"disruption: {'yes' if has_trouble else 'no'}")
+    deployment = None
     try:
-        verdict = case(deployment, has_trouble)
-    except CannotRun as error:
-        deployment.record.write(f"result: cannot run: {error}")
-        print(f"cannot run: {error}")
-        return 2
+        deployment = Deployment(folder, controls, entries)
+        has_trouble = os.environ.get("TROUBLE", "1") != "0"
+        deployment.record.write(f"disruption: {'yes' if has_trouble else 'no'}")
+        verdict, code = case(deployment, has_trouble), HELD
+        text = "held"
+        if verdict is not None:
+            text, code = f"broken: {verdict}", BROKEN
+    except Exception as error:
+        text, code = f"cannot run: {type(error).__name__}: {error}", CANNOT_RUN
     finally:
-        deployment.close()
-    text = "held" if verdict is None else f"broken: {verdict}"
-    deployment.record.write(f"result: {text}")
+        # Nothing interrupts the end of the processes.
+        for number in signals:
+            signal.signal(number, signal.SIG_IGN)
+        if deployment is not None:
+            deployment.close()
+    if deployment is not None:
+        deployment.record.write(f"result: {text}")
     print(text)
-    return 0 if verdict is None else 1
+    return code
