A host with two registered upstreams is idle only if both are

Cause: the upkeep and the return of a borrowed host looked at the first registered upstream of a host. An upstream that has ended stays registered until that is known, for up to a minute if it ran nothing, so the next one on the host can be the second: it got new work while its host was drained, and the host was taken down, or moved, with that work on it.

Change: `upstreams_on` returns all of them. All are drained, their runs are stopped, and the host counts as idle once none has a run.

Measured: host_with_two_registered_upstreams_goes_down_when_both_are_idle and borrowed_host_with_two_registered_upstreams_is_not_returned_while_one_has_work failed before ("a run is there") and pass.

--- a/crates/hg_policy/src/workflow/standby.rs
+++ b/crates/hg_policy/src/workflow/standby.rs
@@ -11,7 +11,7 @@
 
 use super::FleetObservations;
 use super::ready_steps::ReadyStep;
-use super::wave_scheduler::upstream_on;
+use super::wave_scheduler::upstreams_on;
 
 /// How long work waits for capacity before a host is borrowed: a move takes about as long.
 const BORROW_AFTER: Duration = Duration::from_millis(1_500);
@@ -72,9 +72,8 @@
                 |h: &&hg_model::HostReport| h.pool == pool && h.state == HostState::Moving;
             let arriving = fleet.hosts.values().filter(is_arriving).count();
             let on_standby = fleet.hosts.values().filter(|host| {
-                let is_drained = upstream_on(ledger, fleet, &host.name)
-                    .is_some_and(|upstream| ledger.is_drained(upstream));
-                if is_drained {
+                let upstreams = upstreams_on(ledger, fleet, &host.name);
+                if upstreams.iter().any(|upstream| ledger.is_drained(upstream)) {
                     return false;
                 }
                 let is_standby = ledger.catalog().and_then(|c| c.pool(&host.pool));
@@ -102,10 +101,11 @@
     ) -> Vec<HostMove> {
         let mut moves = Vec::new();
         for (host, borrowed) in &mut self.borrowed {
-            let upstream = upstream_on(ledger, fleet, host);
-            let is_idle = upstream.is_some_and(|name| {
-                !starting.contains(name) && ledger.occupancy().runs(name).next().is_none()
-            });
+            let upstreams = upstreams_on(ledger, fleet, host);
+            let is_idle = |name: &&UpstreamName| {
+                !starting.contains(*name) && ledger.occupancy().runs(name).next().is_none()
+            };
+            let is_idle = !upstreams.is_empty() && upstreams.iter().all(is_idle);
             borrowed.idle_since = is_idle.then(|| borrowed.idle_since.unwrap_or(now));
             let since = borrowed.idle_since;
             if since.is_some_and(|at| now >= at.after(RETURN_AFTER)) && moves.len() < MOVES_MAX {
--- a/crates/hg_policy/src/workflow/wave_scheduler.rs
+++ b/crates/hg_policy/src/workflow/wave_scheduler.rs
@@ -64,7 +64,7 @@
                 draining.insert(host.clone(), since);
                 let reserve = self.reserve;
                 let drain = HostDrain { now, ledger, speeds, stopping, wave, since, reserve };
-                drain.advance(&host, upstream_on(ledger, fleet, &host), &mut round);
+                drain.advance(&host, &upstreams_on(ledger, fleet, &host), &mut round);
             }
         }
         self.draining = draining;
@@ -84,8 +84,8 @@
         let waiting = wave.hosts.iter().filter(|(_, stage)| **stage == UpkeepStage::Waiting);
         let mut waiting: Vec<&HostName> = waiting.map(|(host, _)| host).collect();
         waiting.sort_by_key(|host| {
-            let upstream = upstream_on(ledger, fleet, host);
-            let used = upstream.map_or(0, |name| ledger.occupancy().used(name).weight());
+            let upstreams = upstreams_on(ledger, fleet, host).into_iter();
+            let used: u64 = upstreams.map(|name| ledger.occupancy().used(name).weight()).sum();
             (!self.draining.contains_key(*host), used)
         });
         waiting.into_iter().take(slots).cloned().collect()
@@ -104,18 +104,17 @@
 }
 
 impl HostDrain<'_> {
-    fn advance(&self, host: &HostName, upstream: Option<&UpstreamName>, round: &mut WaveRound) {
-        let Some(upstream) = upstream else {
-            round.upkeeps.push(UpkeepOrder { wave: self.wave.spec.number, host: host.clone() });
-            return;
-        };
-        round.draining.insert(upstream.clone());
+    /// Drains the upstreams on the host. There may be several: one that ended stays registered until that is known.
+    fn advance(&self, host: &HostName, upstreams: &[&UpstreamName], round: &mut WaveRound) {
         let mut is_empty = true;
-        for (task, open) in self.ledger.occupancy().runs(upstream) {
-            is_empty = false;
-            if self.may_stop(task, &round.stops) {
-                let (upstream, task) = (upstream.clone(), task.clone());
-                round.stops.push(RunRef { upstream, task, run: open.run });
+        for upstream in upstreams {
+            round.draining.insert((*upstream).clone());
+            for (task, open) in self.ledger.occupancy().runs(upstream) {
+                is_empty = false;
+                if self.may_stop(task, &round.stops) {
+                    let (upstream, task) = ((*upstream).clone(), task.clone());
+                    round.stops.push(RunRef { upstream, task, run: open.run });
+                }
             }
         }
         if is_empty {
@@ -143,16 +142,18 @@
     }
 }
 
-/// The upstream on a host, by its own registration or else by the platform's list.
-pub(crate) fn upstream_on<'a>(
+/// The upstreams on a host, by their own registrations or else by the platform's list.
+pub(crate) fn upstreams_on<'a>(
     ledger: &'a WorkflowLedger,
     fleet: &FleetObservations,
     host: &HostName,
-) -> Option<&'a UpstreamName> {
-    let registered = ledger.upstreams().values().find(|u| u.host.as_ref() == Some(host));
-    if let Some(report) = registered {
-        return Some(&report.name);
+) -> Vec<&'a UpstreamName> {
+    let registered = ledger.upstreams().values().filter(|u| u.host.as_ref() == Some(host));
+    let registered: Vec<_> = registered.map(|report| &report.name).collect();
+    if !registered.is_empty() {
+        return registered;
     }
-    let listed = fleet.hosts.get(host)?.upstream.as_ref()?;
-    ledger.upstreams().get_key_value(listed).map(|(name, _)| name)
+    let listed = fleet.hosts.get(host).and_then(|report| report.upstream.as_ref());
+    let listed = listed.and_then(|name| ledger.upstreams().get_key_value(name));
+    listed.map(|(name, _)| name).into_iter().collect()
 }
--- a/crates/hg_policy/tests/workflow/harness.rs
+++ b/crates/hg_policy/tests/workflow/harness.rs
@@ -80,6 +80,12 @@
         self.apply(WorkflowCommand::Register(report(number, 0)));
     }
 
+    /// Registers a further upstream on the host of another one.
+    pub fn register_on(&mut self, number: u32, host_number: u32) {
+        let report = UpstreamReport { host: Some(host(host_number)), ..report(number, 0) };
+        self.apply(WorkflowCommand::Register(report));
+    }
+
     pub fn submit(&mut self, name: &str, priority: u32, steps: Vec<StepSpec>) {
         self.submit_for("lindqvist", name, priority, steps);
     }
--- a/crates/hg_policy/tests/workflow/upkeep_advice_pace.rs
+++ b/crates/hg_policy/tests/workflow/upkeep_advice_pace.rs
@@ -110,6 +110,40 @@
     );
 }
 
+/// Guards against an upkeep that ends work: an upstream that has ended stays registered until that is known, and the idle one
+/// is not the only one on the host.
+#[test]
+fn host_with_two_registered_upstreams_goes_down_when_both_are_idle() {
+    let mut harness = Harness::new(1, 1);
+    harness.register_on(1, 0);
+    harness.fleet.excluded.insert(upstream(0));
+    harness.submit("sweep", 2, vec![short_step(1)]);
+    let run = run_of(&harness.round(0).starts[0]);
+    assert_eq!(run.upstream, upstream(1));
+    start_wave(&mut harness, 1, 1);
+    assert!(upkeep_orders(&harness.round(10)).is_empty(), "a run is there");
+    harness.submit("next", 2, vec![StepSpec::new(1, ONE_ACCELERATOR)]);
+    assert!(harness.round(10).starts.is_empty(), "both get no new work");
+    harness.end(&run, EndKind::Done);
+    assert_eq!(upkeep_orders(&harness.round(10)).len(), 1);
+}
+
+/// Guards against the return of a borrowed host on which work runs, beside an upstream that has ended and is still registered.
+#[test]
+fn borrowed_host_with_two_registered_upstreams_is_not_returned_while_one_has_work() {
+    let mut harness = with_standby_host();
+    harness.submit("sweep", 2, vec![short_step(2)]);
+    harness.round(0);
+    assert_eq!(harness.round(2_000).moves.len(), 1);
+    harness.fleet.hosts.clear();
+    harness.register(7);
+    harness.fleet.excluded.insert(upstream(7));
+    harness.register_on(8, 7);
+    assert_eq!(run_of(&harness.round(10).starts[0]).upstream, upstream(8));
+    assert!(harness.round(10).moves.is_empty());
+    assert!(harness.round(60_000).moves.is_empty(), "a run is there");
+}
+
 #[test]
 fn host_goes_down_when_its_work_has_ended_and_gets_no_new_work_meanwhile() {
     let mut harness = Harness::new(1, 1);
