A list of hosts that was requested before an upkeep began does not complete it

Cause: "in service" in a list of hosts completes an upkeep that has begun. A list that was requested while the order was in flight can show the host as it was before the order was carried out, and arrive after the answer to it: the wave then counted the host as back and took the next one down beside it.

Change: the leader keeps when it learned that an upkeep has begun, and evaluates for it only lists requested later.

Measured: record_hosts_requested_before_the_upkeep_began failed before ([(m-1, Done)] where nothing is to change) and passes.

--- a/crates/hg_control/src/workflow/platform_calls.rs
+++ b/crates/hg_control/src/workflow/platform_calls.rs
@@ -66,6 +66,9 @@
     /// The attempts of the pending orders.
     attempts: BTreeMap<(HostName, HostOrderKind), OrderAttempts>,
     moves: BTreeMap<HostName, PendingMove>,
+    /// When this term learned that the upkeep of a host has begun. A list that was requested before may show the host as it was
+    /// until then.
+    begun_at: BTreeMap<(WaveNumber, HostName), Time>,
 }
 
 impl PlatformCalls {
@@ -83,6 +86,7 @@
             last_orders: BTreeMap::new(),
             attempts: BTreeMap::new(),
             moves: BTreeMap::new(),
+            begun_at: BTreeMap::new(),
         }
     }
 
@@ -221,13 +225,22 @@
                 let was_ordered = self.last_orders.get(host).is_some_and(|at| *at >= requested_at);
                 let is_settled = self.hosts.contains_key(host) || is_gone(host);
                 let wave = wave.spec.number;
-                if was_ordered || !is_settled {
+                let key = (wave, host.clone());
+                let precedes_begin = self.begun_at.get(&key).is_some_and(|at| *at > requested_at);
+                if was_ordered || !is_settled || precedes_begin {
                     continue;
                 }
-                let stage = self.next_stage(wave, host, *stage, ledger);
-                commands.extend(stage.map(|stage| upkeep(wave, host, stage)));
+                let Some(stage) = self.next_stage(wave, host, *stage, ledger) else { continue };
+                if stage == UpkeepStage::Begun {
+                    self.begun_at.insert(key, now);
+                }
+                commands.push(upkeep(wave, host, stage));
             }
         }
+        self.begun_at.retain(|(wave, host), _| {
+            let stage = ledger.waves().get(*wave).and_then(|wave| wave.hosts.get(host));
+            stage.is_some_and(|stage| stage.may_be_down())
+        });
         commands
     }
 
@@ -256,6 +269,7 @@
     /// Records the result of an order about a host, and returns what follows from it.
     pub(crate) fn record_order_result(
         &mut self,
+        now: Time,
         order: &HostOrder,
         result: &HostOrderResult,
         ledger: &WorkflowLedger,
@@ -267,7 +281,9 @@
         }
         match &order.kind {
             HostOrderKind::Move(pool) => self.record_move_result(order, pool, result),
-            HostOrderKind::Upkeep(wave) => upkeep_outcome(order, *wave, result, ledger),
+            HostOrderKind::Upkeep(wave) => {
+                self.record_upkeep_result(now, order, *wave, result, ledger)
+            }
         }
     }
 
@@ -300,27 +316,29 @@
         }
         outcome
     }
-}
 
-fn upkeep_outcome(
-    order: &HostOrder,
-    wave: WaveNumber,
-    result: &HostOrderResult,
-    ledger: &WorkflowLedger,
-) -> OrderOutcome {
-    let stage = match result {
-        HostOrderResult::Done => UpkeepStage::Begun,
-        HostOrderResult::Refused | HostOrderResult::NoSuchHost => UpkeepStage::Gone,
-        // The order stays pending: the host may be busy with an earlier attempt, of this leader or of another.
-        HostOrderResult::Busy | HostOrderResult::Fenced | HostOrderResult::Unanswered(_) => {
-            return OrderOutcome::default();
-        }
-    };
-    let ended = (stage == UpkeepStage::Begun).then(|| {
-        let targets = ledger.upkeep_targets().of(wave, &order.host);
-        targets.cloned().unwrap_or_default()
-    });
-    OrderOutcome { command: Some(upkeep(wave, &order.host, stage)), ended }
+    fn record_upkeep_result(
+        &mut self,
+        now: Time,
+        order: &HostOrder,
+        wave: WaveNumber,
+        result: &HostOrderResult,
+        ledger: &WorkflowLedger,
+    ) -> OrderOutcome {
+        let stage = match result {
+            HostOrderResult::Done => UpkeepStage::Begun,
+            HostOrderResult::Refused | HostOrderResult::NoSuchHost => UpkeepStage::Gone,
+            // The order stays pending: the host may be busy with an earlier attempt, of this leader or of another.
+            HostOrderResult::Busy | HostOrderResult::Fenced | HostOrderResult::Unanswered(_) => {
+                return OrderOutcome::default();
+            }
+        };
+        let ended = (stage == UpkeepStage::Begun).then(|| {
+            self.begun_at.entry((wave, order.host.clone())).or_insert(now);
+            ledger.upkeep_targets().of(wave, &order.host).cloned().unwrap_or_default()
+        });
+        OrderOutcome { command: Some(upkeep(wave, &order.host, stage)), ended }
+    }
 }
 
 /// Whether a host may be down for a running wave other than `wave`.
--- a/crates/hg_control/src/workflow/platform_calls/tests.rs
+++ b/crates/hg_control/src/workflow/platform_calls/tests.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hg_ledger::{UpkeepStage, WorkflowCommand, WorkflowLedger};
 use hg_model::{
@@ -213,7 +214,7 @@
         let report = upstream_on(host(1), name, incarnation, "pool");
         later.apply(WorkflowCommand::Register(report));
     }
-    let outcome = calls.record_order_result(&order, &HostOrderResult::Done, &later);
+    let outcome = calls.record_order_result(Time(0), &order, &HostOrderResult::Done, &later);
     assert_eq!(outcome.ended, ended(&[("a", 1)]), "neither a later incarnation nor another one");
     for (number, expected) in [(2, ended(&[("b", 1)])), (3, ended(&[])), (4, ended(&[]))] {
         let (mut calls, mut ledger) = (PlatformCalls::new(Time(0), Term(1)), ledger.clone());
@@ -221,11 +222,11 @@
         let kind = HostOrderKind::Move(pool("other"));
         let order = HostOrder { host: host(number), kind, fence: Term(1) };
         ledger.apply(WorkflowCommand::Register(upstream_on(host(number), "e", 1, "pool")));
-        let outcome = calls.record_order_result(&order, &HostOrderResult::Done, &ledger);
+        let outcome = calls.record_order_result(Time(0), &order, &HostOrderResult::Done, &ledger);
         assert_eq!(outcome.ended, expected, "host {number}");
     }
     let order = HostOrder { host: host(4), kind: HostOrderKind::Upkeep(WAVE), fence: Term(1) };
-    let outcome = calls.record_order_result(&order, &HostOrderResult::Done, &ledger);
+    let outcome = calls.record_order_result(Time(0), &order, &HostOrderResult::Done, &ledger);
     assert_eq!(outcome.ended, ended(&[]), "no order");
 }
 
@@ -236,13 +237,13 @@
     let (mut calls, mut ledger) = with_upstreams();
     order_upkeep(&mut ledger);
     let order = sent(&mut calls, &ledger, at_retry(0));
-    assert_eq!(calls.record_order_result(&order, &lost(), &ledger).command, None);
+    assert_eq!(calls.record_order_result(Time(0), &order, &lost(), &ledger).command, None);
     let order = sent(&mut calls, &ledger, at_retry(1));
-    let outcome = calls.record_order_result(&order, &HostOrderResult::Busy, &ledger);
+    let outcome = calls.record_order_result(Time(0), &order, &HostOrderResult::Busy, &ledger);
     assert_eq!(outcome.command, None);
     ledger.apply(WorkflowCommand::Register(upstream_on(host(1), "next", 1, "pool")));
     let order = sent(&mut calls, &ledger, at_retry(2));
-    let outcome = calls.record_order_result(&order, &HostOrderResult::Done, &ledger);
+    let outcome = calls.record_order_result(Time(0), &order, &HostOrderResult::Done, &ledger);
     assert_eq!(outcome.ended, ended(&[("a", 1)]));
     assert_eq!(outcome.command, Some(upkeep(WAVE, &host(1), UpkeepStage::Begun)));
 }
@@ -255,9 +256,9 @@
     let first = sent(&mut calls, &ledger, at_retry(0));
     let second = sent(&mut calls, &ledger, at_retry(1));
     assert_eq!(calls.attempts(&second).without_answer(), 2);
-    let outcome = calls.record_order_result(&second, &HostOrderResult::Busy, &ledger);
+    let outcome = calls.record_order_result(Time(0), &second, &HostOrderResult::Busy, &ledger);
     assert_eq!(outcome.command, None);
-    let outcome = calls.record_order_result(&first, &HostOrderResult::Done, &ledger);
+    let outcome = calls.record_order_result(Time(0), &first, &HostOrderResult::Done, &ledger);
     assert_eq!(outcome.command, Some(upkeep(WAVE, &host(1), UpkeepStage::Begun)));
 }
 
@@ -271,10 +272,10 @@
     ledger.apply(WorkflowCommand::Register(upstream_on(host(1), "next", 1, "pool")));
     let mut calls = PlatformCalls::new(Time(0), Term(2));
     let order = sent(&mut calls, &ledger, at_retry(1));
-    let outcome = calls.record_order_result(&order, &HostOrderResult::Busy, &ledger);
+    let outcome = calls.record_order_result(Time(0), &order, &HostOrderResult::Busy, &ledger);
     assert_eq!(outcome.command, None);
     let order = sent(&mut calls, &ledger, at_retry(2));
-    let outcome = calls.record_order_result(&order, &HostOrderResult::Done, &ledger);
+    let outcome = calls.record_order_result(Time(0), &order, &HostOrderResult::Done, &ledger);
     assert_eq!(outcome.ended, ended(&[("a", 1)]));
 }
 
@@ -285,11 +286,11 @@
     let (mut calls, ledger) = with_upstreams();
     order_move(&mut calls, &ledger, 2, "other");
     let order = sent(&mut calls, &ledger, at_retry(0));
-    calls.record_order_result(&order, &lost(), &ledger);
+    calls.record_order_result(Time(0), &order, &lost(), &ledger);
     let order = sent(&mut calls, &ledger, at_retry(1));
-    calls.record_order_result(&order, &HostOrderResult::Busy, &ledger);
+    calls.record_order_result(Time(0), &order, &HostOrderResult::Busy, &ledger);
     let order = sent(&mut calls, &ledger, at_retry(2));
-    let outcome = calls.record_order_result(&order, &HostOrderResult::Done, &ledger);
+    let outcome = calls.record_order_result(Time(0), &order, &HostOrderResult::Done, &ledger);
     assert_eq!(outcome.ended, ended(&[("b", 1)]));
     assert!(calls.moving().is_empty());
 }
@@ -300,7 +301,7 @@
     let (mut calls, ledger) = with_upstreams();
     order_move(&mut calls, &ledger, 2, "other");
     let order = sent(&mut calls, &ledger, at_retry(0));
-    calls.record_order_result(&order, &HostOrderResult::Busy, &ledger);
+    calls.record_order_result(Time(0), &order, &HostOrderResult::Busy, &ledger);
     assert!(calls.moving().is_empty());
 }
 
@@ -313,7 +314,7 @@
     let order = sent(&mut calls, &ledger, at_retry(0));
     ledger.apply(WorkflowCommand::Register(upstream_on(host(1), "next", 1, "other")));
     order_upkeep(&mut ledger);
-    let outcome = calls.record_order_result(&order, &HostOrderResult::Done, &ledger);
+    let outcome = calls.record_order_result(Time(0), &order, &HostOrderResult::Done, &ledger);
     assert_eq!(outcome.ended, ended(&[("a", 1)]));
 }
 
@@ -330,3 +331,26 @@
     let now = Time(0).after(LIST_EVERY);
     assert_eq!(stages(&mut calls, &ledger, now, listing), [(host(2), UpkeepStage::Begun)]);
 }
+
+/// Guards against a wave that counts a host as back, and takes the next one down, while the first is in upkeep: the list that shows
+/// it in service was requested before the upkeep began.
+#[test]
+fn record_hosts_requested_before_the_upkeep_began() {
+    let (mut calls, mut ledger) = with_upstreams();
+    order_upkeep(&mut ledger);
+    let order = sent(&mut calls, &ledger, at_retry(0));
+    let second = sent(&mut calls, &ledger, at_retry(1));
+    let up = [1, 2].map(|number| report(number, HostState::Up)).to_vec();
+    let up = HostListing { hosts: up, unreadable: Vec::new() };
+    calls.listing_sent_at = None;
+    let requested_at = at_retry(1).after(Duration::from_millis(100));
+    assert_eq!(calls.advance(requested_at, &ledger).len(), 1, "a list is requested");
+    let answered_at = requested_at.after(Duration::from_millis(100));
+    let outcome = calls.record_order_result(answered_at, &order, &HostOrderResult::Done, &ledger);
+    ledger.apply(outcome.command.expect("the upkeep has begun"));
+    calls.record_order_result(answered_at, &second, &lost(), &ledger);
+    assert_eq!(stages(&mut calls, &ledger, answered_at, up.clone()), []);
+    let later = Time(0).after(LIST_EVERY * 3);
+    calls.advance(later, &ledger);
+    assert_eq!(stages(&mut calls, &ledger, later, up), [(host(1), UpkeepStage::Done)]);
+}
--- a/crates/hg_control/src/workflow/platform_reports.rs
+++ b/crates/hg_control/src/workflow/platform_reports.rs
@@ -27,7 +27,7 @@
         match report {
             PlatformCallReport::Host(order, result) => {
                 let calls = &mut leadership.platform_calls;
-                let outcome = calls.record_order_result(&order, &result, ledger);
+                let outcome = calls.record_order_result(now, &order, &result, ledger);
                 let attempts = calls.attempts(&order);
                 info!(self.log, "workflow: host ordered"; "event" => "host.ordered",
                     "host" => %order.host, "kind" => ?order.kind, "result" => ?result,
