--- a/crates/hg_control/src/metric.rs
+++ b/crates/hg_control/src/metric.rs
@@ -39,7 +39,7 @@
 use MetricKind::{Counter, Gauge, Histogram};
 
 /// All metrics of a control process.
-pub const METRICS: [Metric; 55] = [
+pub const METRICS: [Metric; 56] = [
     metric("hg_control_term", Gauge, "", "number", "The current leadership term."),
     metric("hg_control_votes", Gauge, "", "0 or 1", "Whether this replica has a vote."),
     metric("hg_control_voters", Gauge, "", "replicas", "The number of voting replicas."),
@@ -250,6 +250,13 @@
         "calls",
         "Advice requests for where a step may run.",
     ),
+    metric(
+        "heathergrade_tombstones",
+        Gauge,
+        "",
+        "ids",
+        "Ids that were cancelled before a job had them.",
+    ),
     metric("heathergrade_drains", Gauge, "", "data centres", "Data centres that are drained."),
     metric("heathergrade_drain_runs_left", Gauge, "", "runs", "Open runs in drained data centres."),
     metric(
--- a/crates/hg_control/src/snapshot.rs
+++ b/crates/hg_control/src/snapshot.rs
@@ -17,6 +17,7 @@
     snapshot.extend(encode(ledger.workflows().usage()));
     snapshot.extend(encode(ledger.workflows().contention()));
     snapshot.extend(encode(ledger.workflows().upkeep_targets()));
+    snapshot.extend(encode(ledger.workflows().tombstones()));
     snapshot
 }
 
@@ -48,6 +49,9 @@
     if let Some(upkeep_targets) = next_part(&mut rest)? {
         ledger.restore_upkeep_targets(upkeep_targets);
     }
+    if let Some(tombstones) = next_part(&mut rest)? {
+        ledger.restore_tombstones(tombstones);
+    }
     Ok(ledger)
 }
 
--- a/crates/hg_control/src/workflow/log_lines.rs
+++ b/crates/hg_control/src/workflow/log_lines.rs
@@ -40,6 +40,12 @@
             WorkflowCommand::Cancel { id, .. } => {
                 info!(self.log, "workflow: cancelled"; "event" => "workflow.cancelled", "job" => %id);
             }
+            WorkflowCommand::CancelUnknown { id, account, .. } => {
+                info!(self.log, "workflow: cancelled before it was submitted";
+                    "event" => "workflow.cancelled_unknown", "job" => %id,
+                    "account" => account.as_ref().map(ToString::to_string),
+                    "tombstones" => self.ledger.workflows().tombstones().count());
+            }
             WorkflowCommand::Start { starts, .. } => {
                 for start in starts {
                     info!(self.log, "workflow: run placed"; "event" => "run.placed",
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -1,12 +1,13 @@
 //! Handles requests about workflows from callers, operators and upstreams.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hg_ledger::{Command, QueueTerms, WorkflowCommand};
 use hg_link::{CallerAction, CallerRequest, Reply, WorkflowReply, WorkflowRequest};
 use hg_model::{
-    Catalog, DataCentreName, HeartbeatReadings, Incarnation, JobId, QueueSpec, Time, UpstreamName,
-    UpstreamReport, WaveNumber, WaveSpec, WorkflowSpec, WorkflowState,
+    AccountName, Catalog, DataCentreName, HeartbeatReadings, Incarnation, JobId, QueueSpec, Time,
+    UpstreamName, UpstreamReport, WaveNumber, WaveSpec, WorkflowSpec, WorkflowState,
 };
 use hg_policy::{Submission, admit};
 use hg_replica::Disk;
@@ -23,10 +24,12 @@
 /// The reply to a request about workflows once its command is applied.
 #[derive(Debug, Clone)]
 pub(crate) enum WorkflowReplyKind {
-    /// The workflow is accepted.
-    Accepted,
+    /// The workflow is accepted, unless it was cancelled before.
+    Accepted(JobId),
     /// The state of the workflow after its cancellation.
     Cancelled(JobId),
+    /// The same, of a workflow that was unknown when the caller asked for that.
+    CancelledUnknown(JobId),
     /// The catalog or a higher version of it is in force, or the wave is stored.
     Stored,
     /// An upstream's heartbeat or leave request was recorded.
@@ -35,6 +38,16 @@
     DrainStarted(DataCentreName),
 }
 
+/// The reply to the submission of a workflow that its caller has cancelled before. Its id is not accepted for `retained`.
+fn rejected_as_cancelled(retained: Duration) -> WorkflowReply {
+    let reason = "this id was cancelled before".to_owned();
+    WorkflowReply::Rejected { reason, retry_after_ms: millis(retained) }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl<D: Disk> Core<D> {
     /// Answers at once, or proposes a command and answers when that is applied.
     pub(crate) fn answer_workflow(
@@ -168,7 +181,7 @@
                 self.on_submit_workflow(now, ticket, id, spec, &queue, account)
             }
             CallerAction::State => Some(self.state_reply(&id)),
-            CallerAction::Cancel => self.on_cancel_workflow(now, ticket, id),
+            CallerAction::Cancel => self.on_cancel_workflow(now, ticket, id, account),
         }
     }
 
@@ -183,12 +196,18 @@
         id: JobId,
         spec: WorkflowSpec,
         queue: &QueueSpec,
-        account: Option<hg_model::AccountName>,
+        account: Option<AccountName>,
     ) -> Option<WorkflowReply> {
         if self.ledger.workflows().state(&id).is_some() {
             // A retry by the caller after a lost answer.
             return Some(WorkflowReply::Accepted);
         }
+        let tombstones = self.ledger.workflows().tombstones();
+        if let Some(at) = tombstones.cancelled_at(account.as_ref(), &id) {
+            info!(self.log, "workflow: rejected, cancelled before"; "event" => "workflow.withdrawn",
+                "job" => %id, "queue" => %queue.name, "cancelled_ms_ago" => millis(now.since(at)));
+            return Some(rejected_as_cancelled(self.cfg.workflows.retain_ended()));
+        }
         if let Err(fault) = spec.check() {
             return Some(WorkflowReply::Invalid(fault.to_string()));
         }
@@ -206,8 +225,9 @@
         if let Some(rejected) = self.reject_by_forecast(now, &submission) {
             return Some(rejected);
         }
+        let reply = WorkflowReplyKind::Accepted(id.clone());
         let command = WorkflowCommand::Accept { id, spec, terms, account, at: now };
-        self.propose_workflow(now, ticket, command, WorkflowReplyKind::Accepted)
+        self.propose_workflow(now, ticket, command, reply)
     }
 
     fn on_cancel_workflow(
@@ -215,9 +235,10 @@
         now: Time,
         ticket: Ticket,
         id: JobId,
+        account: Option<AccountName>,
     ) -> Option<WorkflowReply> {
         match self.ledger.workflows().state(&id) {
-            None => Some(WorkflowReply::Unknown),
+            None => self.on_cancel_unknown(now, ticket, id, account),
             Some(state) if state.is_final() => Some(WorkflowReply::State(state)),
             Some(_) => {
                 let reply = WorkflowReplyKind::Cancelled(id.clone());
@@ -226,6 +247,35 @@
         }
     }
 
+    /// Handles the cancellation of a workflow that is unknown. Its submission may be held up on its way, so the id is recorded
+    /// before the caller is told that there is no such workflow.
+    fn on_cancel_unknown(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        id: JobId,
+        account: Option<AccountName>,
+    ) -> Option<WorkflowReply> {
+        let tombstones = self.ledger.workflows().tombstones();
+        if tombstones.cancelled_at(account.as_ref(), &id).is_some() {
+            return Some(WorkflowReply::Unknown);
+        }
+        let kept_until = tombstones
+            .next_evicted(account.as_ref())
+            .map(|oldest| oldest.after(self.cfg.workflows.tombstone_kept_min()));
+        if let Some(kept_until) = kept_until.filter(|until| now < *until) {
+            let retry_after_ms = millis(kept_until.since(now));
+            info!(self.log, "workflow: too many cancelled ids"; "event" => "workflow.uncancelled",
+                "job" => %id, "account" => account.as_ref().map(ToString::to_string),
+                "retry_after_ms" => retry_after_ms);
+            let reason = "too many ids were cancelled that no job has".to_owned();
+            return Some(WorkflowReply::Rejected { reason, retry_after_ms });
+        }
+        let reply = WorkflowReplyKind::CancelledUnknown(id.clone());
+        let command = WorkflowCommand::CancelUnknown { id, account, at: now };
+        self.propose_workflow(now, ticket, command, reply)
+    }
+
     fn on_heartbeat(
         &mut self,
         now: Time,
@@ -324,7 +374,11 @@
 
     pub(crate) fn workflow_reply(&self, kind: &WorkflowReplyKind) -> WorkflowReply {
         match kind {
-            WorkflowReplyKind::Accepted => WorkflowReply::Accepted,
+            WorkflowReplyKind::Accepted(id) => match self.ledger.workflows().state(id) {
+                Some(_) => WorkflowReply::Accepted,
+                None => rejected_as_cancelled(self.cfg.workflows.retain_ended()),
+            },
+            WorkflowReplyKind::CancelledUnknown(id) => self.state_reply(id),
             WorkflowReplyKind::Cancelled(id) => {
                 let state = self.ledger.workflows().state(id);
                 WorkflowReply::State(state.unwrap_or(WorkflowState::Cancelled))
--- a/crates/hg_control/src/workflow/telemetry.rs
+++ b/crates/hg_control/src/workflow/telemetry.rs
@@ -152,6 +152,7 @@
     let found = ledger.contention().found_count();
     metrics::gauge!("heathergrade_contention_pairs").set(found as f64);
     metrics::gauge!("hg_workflow_shunned").set(excluded as f64);
+    metrics::gauge!("heathergrade_tombstones").set(ledger.tombstones().count() as f64);
     let runs_left: u64 = runs_left(ledger).into_values().sum();
     metrics::gauge!("heathergrade_drains").set(ledger.drains().active().len() as f64);
     metrics::gauge!("heathergrade_drain_runs_left").set(runs_left as f64);
--- a/crates/hg_control/tests/snapshot.rs
+++ b/crates/hg_control/tests/snapshot.rs
@@ -227,6 +227,24 @@
     assert_eq!(read.workflows().waves(), ledger.workflows().waves());
 }
 
+/// Guards against a new leader that starts from a snapshot and accepts what was cancelled before.
+#[test]
+fn decode_ledger_keeps_tombstones_and_reads_a_snapshot_without_them() {
+    let without = ledger_with_upkeep();
+    let mut ledger = without.clone();
+    let (id, at) = (JobId::new("cancelled").expect("a good name"), Time(2_000));
+    let account = Some(AccountName::new("lindqvist").expect("a good name"));
+    let cancel = WorkflowCommand::CancelUnknown { id: id.clone(), account: account.clone(), at };
+    ledger.apply(Command::Workflow(cancel));
+    let read = decode_ledger(&encode_ledger(&ledger)).expect("readable");
+    assert_eq!(read.workflows().tombstones().cancelled_at(account.as_ref(), &id), Some(at));
+    assert_eq!(read, ledger);
+    let snapshot = encode_ledger(&without);
+    let empty = encode(without.workflows().tombstones()).len();
+    let earlier = &snapshot[..snapshot.len() - empty];
+    assert_eq!(decode_ledger(earlier).expect("readable"), without);
+}
+
 /// A ledger that has learned the time of some runs, beside the crash of an upstream.
 fn ledger_with_run_times() -> Ledger {
     let mut ledger = ledger(true);
--- a/crates/hg_control/tests/workflow_fuzz.rs
+++ b/crates/hg_control/tests/workflow_fuzz.rs
@@ -2,6 +2,7 @@
 //! changes, with random faults from a seed.
 
 mod crashing_tasks;
+mod early_cancels;
 mod foreign_reports;
 mod large_fleet;
 mod workflow_world;
--- a/crates/hg_control/tests/workflow_world/oracle.rs
+++ b/crates/hg_control/tests/workflow_world/oracle.rs
@@ -36,6 +36,8 @@
     shrunk_until: BTreeMap<UpstreamName, u64>,
     /// Upstreams to which no start may be ordered: the drain of their data centre is acknowledged.
     drained: BTreeSet<UpstreamName>,
+    /// Workflows whose cancellation was acknowledged before they were accepted.
+    cancelled_before_submission: BTreeSet<String>,
     /// Number of runs whose lease expired, and of tasks whose work was done again.
     pub wasted: u32,
 }
@@ -57,6 +59,11 @@
         self.spec(task).steps[task.step.step as usize].gang
     }
 
+    /// Records that a workflow was cancelled before it was accepted: none of its tasks may start.
+    pub fn cancelled_before_submission(&mut self, id: &str) {
+        self.cancelled_before_submission.insert(id.to_owned());
+    }
+
     /// Records that the drain of a data centre with these upstreams was acknowledged.
     pub fn drain_acknowledged(&mut self, upstreams: BTreeSet<UpstreamName>) {
         self.drained = upstreams;
@@ -69,6 +76,11 @@
 
     /// Checks a start that the leader orders.
     pub fn start_ordered(&self, upstream: &UpstreamName, task: &TaskId, run: RunNumber) {
+        let is_cancelled = self.cancelled_before_submission.contains(task.step.job.as_str());
+        assert!(
+            !is_cancelled,
+            "{task} run {run} is started, and was cancelled before it was submitted"
+        );
         let is_drained = self.drained.contains(upstream);
         assert!(!is_drained, "{task} run {run} is started at {upstream}, which is drained");
     }
--- a/crates/hg_ledger/src/ledger.rs
+++ b/crates/hg_ledger/src/ledger.rs
@@ -11,7 +11,7 @@
 use crate::{
     AccountUsage, Command, Contention, Crashes, Drains, ENDED_MAX, ENDED_WITH_NOTES_MAX, Effect,
     EndedJob, FAILURES_MAX, HostSpeeds, Job, JobEvent, LearnedRunTimes, ListConflict,
-    OPERATIONS_MAX, Outcome, REFUSALS_MAX, UpkeepTargets, WorkflowLedger,
+    OPERATIONS_MAX, Outcome, REFUSALS_MAX, Tombstones, UpkeepTargets, WorkflowLedger,
 };
 
 /// The result of applying one command of the log.
@@ -150,6 +150,11 @@
         self.workflows.restore_upkeep_targets(upkeep_targets);
     }
 
+    /// Restores the tombstones of cancelled workflows, which a snapshot keeps apart.
+    pub fn restore_tombstones(&mut self, tombstones: Tombstones) {
+        self.workflows.restore_tombstones(tombstones);
+    }
+
     /// Applies one command of the log. A command that no longer applies changes nothing.
     pub fn apply(&mut self, command: Command) -> Applied {
         match command {
--- a/crates/hg_ledger/src/lib.rs
+++ b/crates/hg_ledger/src/lib.rs
@@ -26,7 +26,7 @@
     Crashes, DRAINS_MAX, DirectionEvidence, Drains, EndedWorkflow, ExposedRun, HostSpeed,
     HostSpeeds, LearnedRunTimes, LostRun, Occupancy, Occurrence, OpenRun, PairEvidence, QueueTerms,
     RatioCounts, ResourceTime, RunRef, RunStart, RunTimeChange, RunTimeKey, SavedProgress,
-    StepRecord, TaskCrash, TaskRecord, TaskState, UnconfirmedEnd, UpkeepStage, UpkeepTargets,
-    UpstreamCrash, Wave, Waves, Workflow, WorkflowCommand, WorkflowEffect, WorkflowLedger,
-    WorkflowPhase,
+    StepRecord, TOMBSTONES_MAX, TOMBSTONES_PER_ACCOUNT_MAX, TaskCrash, TaskRecord, TaskState,
+    Tombstones, UnconfirmedEnd, UpkeepStage, UpkeepTargets, UpstreamCrash, Wave, Waves, Workflow,
+    WorkflowCommand, WorkflowEffect, WorkflowLedger, WorkflowPhase,
 };
--- a/crates/hg_ledger/src/workflow/command.rs
+++ b/crates/hg_ledger/src/workflow/command.rs
@@ -219,4 +219,13 @@
         /// Pairs with their evidence from now on.
         changed: Vec<(ContentionPair, PairEvidence)>,
     },
+    /// Cancels a workflow that was unknown when its caller asked for that: its submission may still arrive.
+    CancelUnknown {
+        /// The workflow.
+        id: JobId,
+        /// The client account that cancels it; `None` on a queue that is open to everyone.
+        account: Option<AccountName>,
+        /// When it was decided.
+        at: Time,
+    },
 }
--- a/crates/hg_ledger/src/workflow/ledger.rs
+++ b/crates/hg_ledger/src/workflow/ledger.rs
@@ -11,8 +11,8 @@
 use super::{
     AccountUsage, Contention, Crashes, Drains, EndedWorkflow, ExposedRun, HostSpeeds,
     LearnedRunTimes, LostRun, Occupancy, Occurrence, OpenRun, QueueTerms, RunRef, RunStart,
-    RunTimeChange, SavedProgress, StepRecord, TaskState, UpkeepStage, UpkeepTargets, Waves,
-    Workflow, WorkflowCommand, WorkflowEffect, WorkflowPhase,
+    RunTimeChange, SavedProgress, StepRecord, TaskState, Tombstones, UpkeepStage, UpkeepTargets,
+    Waves, Workflow, WorkflowCommand, WorkflowEffect, WorkflowPhase,
 };
 
 /// Catalog, registered upstreams, workflows, open runs and maintenance waves.
@@ -44,6 +44,9 @@
     /// Kept apart in snapshots like the crashes.
     #[serde(skip)]
     upkeep_targets: UpkeepTargets,
+    /// Kept apart in snapshots as well.
+    #[serde(skip)]
+    tombstones: Tombstones,
 }
 
 /// Fewer crashes of upstreams under a task never fail its workflow.
@@ -110,6 +113,11 @@
         &self.upkeep_targets
     }
 
+    /// The ids that were cancelled before their submission arrived.
+    pub const fn tombstones(&self) -> &Tombstones {
+        &self.tombstones
+    }
+
     /// The crashes that tasks and upstreams have gone through.
     pub const fn crashes(&self) -> &Crashes {
         &self.crashes
@@ -146,9 +154,11 @@
         &self.contention
     }
 
-    /// When the oldest retained workflow in its final state ended; `None` if none is retained.
+    /// When the oldest retained workflow in its final state ended, or the oldest tombstone was recorded if that is earlier; `None`
+    /// if none is retained.
     pub fn oldest_end_time(&self) -> Option<Time> {
-        self.ended.get(self.ended_order.front()?).map(|ended| ended.at)
+        let oldest = self.ended_order.front().and_then(|id| self.ended.get(id));
+        oldest.map(|ended| ended.at).into_iter().chain(self.tombstones.oldest()).min()
     }
 }
 
@@ -166,6 +176,9 @@
             WorkflowCommand::Cancel { id, at } => {
                 self.end_early(&id, WorkflowState::Cancelled, at, &mut effects);
             }
+            WorkflowCommand::CancelUnknown { id, account, at } => {
+                self.cancel_unknown(id, account, at, &mut effects);
+            }
             WorkflowCommand::Start { starts, at } => {
                 self.start_runs(starts, at, &mut effects);
             }
@@ -239,6 +252,11 @@
         self.host_speeds = host_speeds;
     }
 
+    /// Restores the tombstones that a snapshot keeps apart.
+    pub(crate) fn restore_tombstones(&mut self, tombstones: Tombstones) {
+        self.tombstones = tombstones;
+    }
+
     /// Restores the targets of pending upkeeps that a snapshot keeps apart.
     pub(crate) fn restore_upkeep_targets(&mut self, upkeep_targets: UpkeepTargets) {
         self.upkeep_targets = upkeep_targets;
@@ -334,7 +352,9 @@
         at: Time,
         effects: &mut Vec<WorkflowEffect>,
     ) {
-        if self.state(&id).is_some() {
+        if self.state(&id).is_some()
+            || self.tombstones.cancelled_at(account.as_ref(), &id).is_some()
+        {
             return;
         }
         let workflow = Workflow {
@@ -352,6 +372,24 @@
         effects.push(WorkflowEffect::Accepted(id));
     }
 
+    /// Cancels a workflow that may have been accepted since its caller asked for that, or else records a tombstone.
+    fn cancel_unknown(
+        &mut self,
+        id: JobId,
+        account: Option<AccountName>,
+        at: Time,
+        effects: &mut Vec<WorkflowEffect>,
+    ) {
+        match self.jobs.get(&id) {
+            Some(job) if job.account == account => {
+                self.end_early(&id, WorkflowState::Cancelled, at, effects);
+            }
+            Some(_) => {}
+            None if self.ended.contains_key(&id) => {}
+            None => self.tombstones.record(account, id, at),
+        }
+    }
+
     /// Opens the runs whose start still applies; those of a gang all together or not at all.
     fn start_runs(&mut self, starts: Vec<RunStart>, at: Time, effects: &mut Vec<WorkflowEffect>) {
         let mut blocked_gangs: BTreeSet<StepId> = BTreeSet::new();
@@ -468,6 +506,7 @@
     }
 
     fn forget(&mut self, before: Time) {
+        self.tombstones.forget(before);
         while let Some(id) = self.ended_order.front() {
             if self.ended.get(id).is_some_and(|ended| ended.at >= before) {
                 return;
--- a/crates/hg_ledger/src/workflow/mod.rs
+++ b/crates/hg_ledger/src/workflow/mod.rs
@@ -13,6 +13,7 @@
 mod record;
 mod run_end;
 mod run_times;
+mod tombstones;
 mod upkeep_targets;
 mod waves;
 
@@ -33,5 +34,6 @@
     Workflow, WorkflowPhase,
 };
 pub use run_times::{LearnedRunTimes, RatioCounts, RunTimeChange, RunTimeKey};
+pub use tombstones::{TOMBSTONES_MAX, TOMBSTONES_PER_ACCOUNT_MAX, Tombstones};
 pub use upkeep_targets::UpkeepTargets;
 pub use waves::{UpkeepStage, Wave, Waves};
--- a/crates/hg_policy/src/workflow/bounds.rs
+++ b/crates/hg_policy/src/workflow/bounds.rs
@@ -158,4 +158,9 @@
     pub const fn retain_ended(&self) -> Duration {
         self.status.saturating_mul(STATUS_RETENTION_FACTOR)
     }
+
+    /// How long the tombstone of an id that was cancelled before its submission is kept at least, however many its account has.
+    pub const fn tombstone_kept_min(&self) -> Duration {
+        self.status
+    }
 }
