A job is cancelled by the client account that submitted it

Cause: the leader carried out a cancelling for any account that named the id.

Change: a cancelling by another account is answered 410, as if there was no such job, and logged as `workflow.foreign_cancel`. Jobs of a queue that is open to everyone can be cancelled by whoever addresses that queue. Reading a state is as before.

Measured: job_is_cancelled_by_its_own_account_only failed before (200 where 410 is expected) and passes.

--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -6,8 +6,9 @@
 use hg_ledger::{Command, QueueTerms, WorkflowCommand};
 use hg_link::{CallerAction, CallerRequest, Reply, WorkflowReply, WorkflowRequest};
 use hg_model::{
-    AccountName, Catalog, DataCentreName, HeartbeatReadings, Incarnation, JobId, QueueSpec, Time,
-    UpstreamName, UpstreamReport, WaveNumber, WaveSpec, WorkflowSpec, WorkflowState,
+    AccountName, Catalog, DataCentreName, HeartbeatReadings, Incarnation, JobId, QueueName,
+    QueueSpec, Time, UpstreamName, UpstreamReport, WaveNumber, WaveSpec, WorkflowSpec,
+    WorkflowState,
 };
 use hg_policy::{Submission, admit};
 use hg_replica::Disk;
@@ -181,7 +182,10 @@
                 self.on_submit_workflow(now, ticket, id, spec, &queue, account)
             }
             CallerAction::State => Some(self.state_reply(&id)),
-            CallerAction::Cancel => self.on_cancel_workflow(now, ticket, id, account),
+            CallerAction::Cancel => {
+                let queue = route.queue.allow_anonymous.then(|| route.queue.name.clone());
+                self.on_cancel_workflow(now, ticket, id, account, queue.as_ref())
+            }
         }
     }
 
@@ -230,13 +234,33 @@
         self.propose_workflow(now, ticket, command, reply)
     }
 
+    /// Whether a caller may cancel a workflow: its account submitted it, or it is in a queue that is open to everyone, which
+    /// `open_queue` names if the caller addressed one.
+    fn may_cancel(
+        &self,
+        id: &JobId,
+        account: Option<&AccountName>,
+        open_queue: Option<&QueueName>,
+    ) -> bool {
+        self.ledger.workflows().job(id).is_none_or(|job| {
+            let is_open = job.account.is_none() || open_queue == Some(&job.terms.queue);
+            is_open || job.account.as_ref() == account
+        })
+    }
+
     fn on_cancel_workflow(
         &mut self,
         now: Time,
         ticket: Ticket,
         id: JobId,
         account: Option<AccountName>,
+        open_queue: Option<&QueueName>,
     ) -> Option<WorkflowReply> {
+        if !self.may_cancel(&id, account.as_ref(), open_queue) {
+            info!(self.log, "workflow: cancellation by another account"; "event" => "workflow.foreign_cancel",
+                "job" => %id, "account" => account.as_ref().map(ToString::to_string));
+            return Some(WorkflowReply::Unknown);
+        }
         match self.ledger.workflows().state(&id) {
             None => self.on_cancel_unknown(now, ticket, id, account),
             Some(state) if state.is_final() => Some(WorkflowReply::State(state)),
