--- a/crates/hg_control/src/workflow/mod.rs
+++ b/crates/hg_control/src/workflow/mod.rs
@@ -11,6 +11,7 @@
 
 mod account_shares;
 mod broken_gangs;
+mod cancellation;
 mod contention;
 mod crash_evidence;
 mod departure;
--- a/crates/hg_control/src/workflow/request.rs
+++ b/crates/hg_control/src/workflow/request.rs
@@ -1,19 +1,18 @@
 //! Handles requests about workflows from callers, operators and upstreams.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use hg_ledger::{Command, QueueTerms, WorkflowCommand};
 use hg_link::{CallerAction, CallerRequest, Reply, WorkflowReply, WorkflowRequest};
 use hg_model::{
-    AccountName, Catalog, DataCentreName, HeartbeatReadings, Incarnation, JobId, QueueName,
-    QueueSpec, Time, UpstreamName, UpstreamReport, WaveNumber, WaveSpec, WorkflowSpec,
-    WorkflowState,
+    AccountName, Catalog, DataCentreName, HeartbeatReadings, Incarnation, JobId, QueueSpec, Time,
+    UpstreamName, UpstreamReport, WaveNumber, WaveSpec, WorkflowSpec, WorkflowState,
 };
 use hg_policy::{Submission, admit};
 use hg_replica::Disk;
 use slog::{debug, info};
 
+use super::cancellation::cancelled_before;
 use super::departure::{Departure, DepartureCause};
 use super::telemetry;
 use crate::core::{Purpose, ReplyKind};
@@ -39,16 +38,6 @@
     DrainStarted(DataCentreName),
 }
 
-/// The reply to the submission of a workflow that its caller has cancelled before. Its id is not accepted for `retained`.
-fn rejected_as_cancelled(retained: Duration) -> WorkflowReply {
-    let reason = "this id was cancelled before".to_owned();
-    WorkflowReply::Rejected { reason, retry_after_ms: millis(retained) }
-}
-
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl<D: Disk> Core<D> {
     /// Answers at once, or proposes a command and answers when that is applied.
     pub(crate) fn answer_workflow(
@@ -206,11 +195,8 @@
             // A retry by the caller after a lost answer.
             return Some(WorkflowReply::Accepted);
         }
-        let tombstones = self.ledger.workflows().tombstones();
-        if let Some(at) = tombstones.cancelled_at(account.as_ref(), &id) {
-            info!(self.log, "workflow: rejected, cancelled before"; "event" => "workflow.withdrawn",
-                "job" => %id, "queue" => %queue.name, "cancelled_ms_ago" => millis(now.since(at)));
-            return Some(rejected_as_cancelled(self.cfg.workflows.retain_ended()));
+        if let Some(rejected) = self.reject_cancelled(now, &id, account.as_ref()) {
+            return Some(rejected);
         }
         if let Err(fault) = spec.check() {
             return Some(WorkflowReply::Invalid(fault.to_string()));
@@ -234,72 +220,6 @@
         self.propose_workflow(now, ticket, command, reply)
     }
 
-    /// Whether a caller may cancel a workflow: its account submitted it, or it is in a queue that is open to everyone, which
-    /// `open_queue` names if the caller addressed one.
-    fn may_cancel(
-        &self,
-        id: &JobId,
-        account: Option<&AccountName>,
-        open_queue: Option<&QueueName>,
-    ) -> bool {
-        self.ledger.workflows().job(id).is_none_or(|job| {
-            let is_open = job.account.is_none() || open_queue == Some(&job.terms.queue);
-            is_open || job.account.as_ref() == account
-        })
-    }
-
-    fn on_cancel_workflow(
-        &mut self,
-        now: Time,
-        ticket: Ticket,
-        id: JobId,
-        account: Option<AccountName>,
-        open_queue: Option<&QueueName>,
-    ) -> Option<WorkflowReply> {
-        if !self.may_cancel(&id, account.as_ref(), open_queue) {
-            info!(self.log, "workflow: cancellation by another account"; "event" => "workflow.foreign_cancel",
-                "job" => %id, "account" => account.as_ref().map(ToString::to_string));
-            return Some(WorkflowReply::Unknown);
-        }
-        match self.ledger.workflows().state(&id) {
-            None => self.on_cancel_unknown(now, ticket, id, account),
-            Some(state) if state.is_final() => Some(WorkflowReply::State(state)),
-            Some(_) => {
-                let reply = WorkflowReplyKind::Cancelled(id.clone());
-                self.propose_workflow(now, ticket, WorkflowCommand::Cancel { id, at: now }, reply)
-            }
-        }
-    }
-
-    /// Handles the cancellation of a workflow that is unknown. Its submission may be held up on its way, so the id is recorded
-    /// before the caller is told that there is no such workflow.
-    fn on_cancel_unknown(
-        &mut self,
-        now: Time,
-        ticket: Ticket,
-        id: JobId,
-        account: Option<AccountName>,
-    ) -> Option<WorkflowReply> {
-        let tombstones = self.ledger.workflows().tombstones();
-        if tombstones.cancelled_at(account.as_ref(), &id).is_some() {
-            return Some(WorkflowReply::Unknown);
-        }
-        let kept_until = tombstones
-            .next_evicted(account.as_ref())
-            .map(|oldest| oldest.after(self.cfg.workflows.tombstone_kept_min()));
-        if let Some(kept_until) = kept_until.filter(|until| now < *until) {
-            let retry_after_ms = millis(kept_until.since(now));
-            info!(self.log, "workflow: too many cancelled ids"; "event" => "workflow.uncancelled",
-                "job" => %id, "account" => account.as_ref().map(ToString::to_string),
-                "retry_after_ms" => retry_after_ms);
-            let reason = "too many ids were cancelled that no job has".to_owned();
-            return Some(WorkflowReply::Rejected { reason, retry_after_ms });
-        }
-        let reply = WorkflowReplyKind::CancelledUnknown(id.clone());
-        let command = WorkflowCommand::CancelUnknown { id, account, at: now };
-        self.propose_workflow(now, ticket, command, reply)
-    }
-
     fn on_heartbeat(
         &mut self,
         now: Time,
@@ -400,7 +320,7 @@
         match kind {
             WorkflowReplyKind::Accepted(id) => match self.ledger.workflows().state(id) {
                 Some(_) => WorkflowReply::Accepted,
-                None => rejected_as_cancelled(self.cfg.workflows.retain_ended()),
+                None => cancelled_before(self.cfg.workflows.retain_ended()),
             },
             WorkflowReplyKind::CancelledUnknown(id) => self.state_reply(id),
             WorkflowReplyKind::Cancelled(id) => {
