A move that the list of hosts shows is settled

Cause: since a move stays pending on "busy" after an attempt without an answer, one to a pool whose hosts are off would be repeated each second for good if the platform calls such a host busy.

Change: a list that was requested after the decision and shows the host in its new pool settles the move, and ends what the move was to end.

Measured: record_hosts_settles_a_move_whose_answer_is_lost passes; without this change nothing settles a move from a list.

--- a/crates/hg_control/src/workflow/leadership.rs
+++ b/crates/hg_control/src/workflow/leadership.rs
@@ -224,7 +224,7 @@
             info!(self.log, "workflow: moving host"; "event" => "host.move", "host" => %host,
                 "pool" => %pool);
         }
-        leadership.platform_calls.order_moves(decisions.moves, ledger);
+        leadership.platform_calls.order_moves(now, decisions.moves, ledger);
         let upkeeps = PlatformCalls::order_upkeeps(decisions.upkeeps);
         for task in decisions.given_up {
             self.give_up_task(now, task);
--- a/crates/hg_control/src/workflow/platform_calls.rs
+++ b/crates/hg_control/src/workflow/platform_calls.rs
@@ -38,10 +38,20 @@
     pub(crate) ended: Option<OrderTargets>,
 }
 
+/// What a list of hosts shows.
+#[derive(Debug, Default)]
+pub(crate) struct HostChanges {
+    /// The new stages of upkeeps.
+    pub(crate) commands: Vec<WorkflowCommand>,
+    /// The hosts for which an order is carried out, with the incarnations that it has ended.
+    pub(crate) ended: BTreeMap<HostName, OrderTargets>,
+}
+
 /// A move that was decided in this term and is not known to be carried out.
 #[derive(Debug)]
 struct PendingMove {
     pool: PoolName,
+    decided_at: Time,
     /// The upstreams that were on the host when it was decided, but for those in its new pool.
     targets: OrderTargets,
 }
@@ -162,12 +172,12 @@
     }
 
     /// Adds moves that were decided.
-    pub(crate) fn order_moves(&mut self, moves: Vec<HostMove>, ledger: &WorkflowLedger) {
+    pub(crate) fn order_moves(&mut self, now: Time, moves: Vec<HostMove>, ledger: &WorkflowLedger) {
         for HostMove { host, pool } in moves {
             let known = self.moves.get(&host);
             if known.is_none_or(|known| known.pool != pool) {
                 let targets = upstreams_to_move(&host, ledger, &pool);
-                self.moves.insert(host, PendingMove { pool, targets });
+                self.moves.insert(host, PendingMove { pool, decided_at: now, targets });
             }
         }
     }
@@ -196,16 +206,16 @@
         self.advice_sent_at.take()
     }
 
-    /// Records a list of hosts. Returns the commands for upkeeps whose stage it shows to have changed.
+    /// Records a list of hosts, and returns what it shows: upkeeps whose stage has changed, and orders that are carried out.
     pub(crate) fn record_hosts(
         &mut self,
         now: Time,
         listed: Result<HostListing, String>,
         ledger: &WorkflowLedger,
-    ) -> Vec<WorkflowCommand> {
+    ) -> HostChanges {
         let requested_at = self.listing_sent_at.take().unwrap_or(now);
         self.listed_at = Some(now);
-        let Ok(HostListing { hosts, unreadable }) = listed else { return Vec::new() };
+        let Ok(HostListing { hosts, unreadable }) = listed else { return HostChanges::default() };
         let is_known = |host: &HostReport| {
             ledger.catalog().is_none_or(|catalog| catalog.pool(&host.pool).is_some())
         };
@@ -241,7 +251,21 @@
             let stage = ledger.waves().get(*wave).and_then(|wave| wave.hosts.get(host));
             stage.is_some_and(|stage| stage.may_be_down())
         });
-        commands
+        let mut ended = self.settle_listed_moves(requested_at);
+        ended.extend(hosts_in_upkeep(&commands, ledger));
+        HostChanges { commands, ended }
+    }
+
+    /// Settles the moves of hosts that a list shows in their new pools. Returns what they have ended: a host that is off in its new
+    /// pool may be busy for every further attempt.
+    fn settle_listed_moves(&mut self, requested_at: Time) -> BTreeMap<HostName, OrderTargets> {
+        let hosts = &self.hosts;
+        let is_listed = |host: &HostName, pending: &mut PendingMove| {
+            let report = hosts.get(host);
+            requested_at > pending.decided_at && report.is_some_and(|r| r.pool == pending.pool)
+        };
+        let settled = self.moves.extract_if(.., is_listed);
+        settled.map(|(host, pending)| (host, pending.targets)).collect()
     }
 
     /// The next stage of a host in a wave, if the list shows a change.
@@ -359,7 +383,7 @@
 }
 
 /// The hosts whose upkeep has begun according to `commands`, with the incarnations that it has ended.
-pub(crate) fn hosts_in_upkeep(
+fn hosts_in_upkeep(
     commands: &[WorkflowCommand],
     ledger: &WorkflowLedger,
 ) -> BTreeMap<HostName, OrderTargets> {
--- a/crates/hg_control/src/workflow/platform_calls/tests.rs
+++ b/crates/hg_control/src/workflow/platform_calls/tests.rs
@@ -47,7 +47,7 @@
     now: Time,
     listing: HostListing,
 ) -> Vec<(HostName, UpkeepStage)> {
-    let commands = calls.record_hosts(now, Ok(listing), ledger);
+    let commands = calls.record_hosts(now, Ok(listing), ledger).commands;
     let stage = |command| match command {
         WorkflowCommand::Upkeep { host, stage, .. } => (host, stage),
         other => panic!("unexpected: {other:?}"),
@@ -175,7 +175,7 @@
 }
 
 fn order_move(calls: &mut PlatformCalls, ledger: &WorkflowLedger, number: u32, to: &str) {
-    calls.order_moves(vec![HostMove { host: host(number), pool: pool(to) }], ledger);
+    calls.order_moves(Time(0), vec![HostMove { host: host(number), pool: pool(to) }], ledger);
 }
 
 /// The one order that is sent at a point in time.
@@ -295,6 +295,28 @@
     assert!(calls.moving().is_empty());
 }
 
+/// Guards against a move that is repeated for good: a host that is off in its new pool is busy for every attempt.
+#[test]
+fn record_hosts_settles_a_move_whose_answer_is_lost() {
+    let (mut calls, ledger) = with_upstreams();
+    order_move(&mut calls, &ledger, 2, "other");
+    let order = sent(&mut calls, &ledger, at_retry(0));
+    calls.record_order_result(Time(0), &order, &lost(), &ledger);
+    let moved = HostReport { pool: pool("other"), ..report(2, HostState::Down) };
+    let listing =
+        |hosts: &[HostReport]| Ok(HostListing { hosts: hosts.to_vec(), unreadable: Vec::new() });
+    calls.listing_sent_at = Some(Time(0));
+    let changes = calls.record_hosts(at_retry(1), listing(&[moved.clone()]), &ledger);
+    assert!(changes.ended.is_empty(), "requested before the move was decided");
+    calls.listing_sent_at = Some(at_retry(1));
+    let changes = calls.record_hosts(at_retry(1), listing(&[report(2, HostState::Up)]), &ledger);
+    assert!(changes.ended.is_empty(), "not moved");
+    calls.listing_sent_at = Some(at_retry(1));
+    let changes = calls.record_hosts(at_retry(1), listing(&[moved]), &ledger);
+    assert_eq!(changes.ended.get(&host(2)), ended(&[("b", 1)]).as_ref());
+    assert!(calls.moving().is_empty());
+}
+
 /// A move that was certainly not carried out is decided anew.
 #[test]
 fn busy_at_the_first_attempt_settles_the_move() {
--- a/crates/hg_control/src/workflow/platform_reports.rs
+++ b/crates/hg_control/src/workflow/platform_reports.rs
@@ -10,7 +10,7 @@
 use slog::{info, warn};
 
 use super::departure::{Departure, DepartureCause};
-use super::platform_calls::{OrderTargets, hosts_in_upkeep};
+use super::platform_calls::OrderTargets;
 use super::telemetry;
 use super::{Advice, PlatformCallReport};
 use crate::Core;
@@ -49,8 +49,8 @@
                     }
                     Ok(_) => {}
                 }
-                commands = leadership.platform_calls.record_hosts(now, listed, ledger);
-                down = hosts_in_upkeep(&commands, ledger);
+                let changes = leadership.platform_calls.record_hosts(now, listed, ledger);
+                (commands, down) = (changes.commands, changes.ended);
             }
             PlatformCallReport::Advice(request, answer) => self.on_advice(now, &request, answer),
         }
