--- a/crates/hg_control/src/workflow/platform_calls/tests.rs
+++ b/crates/hg_control/src/workflow/platform_calls/tests.rs
@@ -306,7 +306,7 @@
     let listing =
         |hosts: &[HostReport]| Ok(HostListing { hosts: hosts.to_vec(), unreadable: Vec::new() });
     calls.listing_sent_at = Some(Time(0));
-    let changes = calls.record_hosts(at_retry(1), listing(&[moved.clone()]), &ledger);
+    let changes = calls.record_hosts(at_retry(1), listing(std::slice::from_ref(&moved)), &ledger);
     assert!(changes.ended.is_empty(), "requested before the move was decided");
     calls.listing_sent_at = Some(at_retry(1));
     let changes = calls.record_hosts(at_retry(1), listing(&[report(2, HostState::Up)]), &ledger);
