--- a/crates/hg_control/src/workflow/cancellation.rs
+++ b/crates/hg_control/src/workflow/cancellation.rs
@@ -56,7 +56,7 @@
     }
 
     /// Handles the cancellation of a workflow that is unknown. Its submission may be held up on its way, so the id is recorded
-    /// before the caller is told that there is no such workflow.
+    /// before the reply that there is no such workflow.
     fn on_cancel_unknown(
         &mut self,
         now: Time,
--- a/crates/hg_ledger/src/workflow/tombstones.rs
+++ b/crates/hg_ledger/src/workflow/tombstones.rs
@@ -13,7 +13,7 @@
 /// The ids that a client account cancelled while no workflow had them.
 ///
 /// A submission can be held up on its way, and arrive after its caller has left and cancelled. A tombstone keeps it from being
-/// accepted. It is bound to the account, so that nobody can keep the workflows of another account from running.
+/// accepted. It holds for submissions of this account only, so it affects no workflow of another one.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tombstones {
     /// When each id was cancelled. `None` stands for callers without an account.
